--- /dev/null
+++ b/Apricothead/src/Coordination/Routing.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace Apricothead {
+
+/** \class EndpointView
+ * \ingroup Coordination_Module
+ * \brief What an entry knows of one endpoint when it decides. Times are in milliseconds of the entry's own clock.
+ */
+struct EndpointView {
+    std::string endpoint;
+    std::string availabilityZone;
+    std::string model;
+    std::string version;
+    std::uint64_t incarnation = 0;
+    bool healthy = true;
+    bool leaving = false;
+    bool connected = true;
+    /** The endpoint's own report, and how old it is. */
+    unsigned reportedRunning = 0;
+    unsigned reportedQueued = 0;
+    unsigned capacity = 1;
+    double reportAgeMs = 0;
+    /** Runs this entry has under way there, and those it started after the report was made. */
+    unsigned ownRunning = 0;
+    unsigned ownSinceReport = 0;
+    /** Moving averages of what this entry measured there; 0 when nothing was. */
+    double firstTokenMs = 0;
+    double errorShare = 0;
+    /** Share of this request's prefix thought to be in the endpoint's cache, 0 to 1. */
+    double prefixShare = 0;
+    /** 0 right after the endpoint appeared or came back, rising to 1. */
+    double warmth = 1;
+    bool ejected = false;
+
+    bool operator==(const EndpointView &) const = default;
+};
+
+/** \class RoutingRequest
+ * \ingroup Coordination_Module
+ * \brief What routing needs to know of a request.
+ */
+struct RoutingRequest {
+    std::string model;
+    std::string version;
+    std::string availabilityZone;
+    double promptTokens = 0;
+    /** Endpoints that an earlier attempt has tried. */
+    std::vector<std::string> avoid;
+
+    bool operator==(const RoutingRequest &) const = default;
+};
+
+/** \class RoutingDecision
+ * \ingroup Coordination_Module
+ * \brief The chosen endpoint, or none, with the reason and the best alternatives in short.
+ */
+struct RoutingDecision {
+    /** Empty when no endpoint may take the request. */
+    std::string endpoint;
+    std::uint64_t incarnation = 0;
+    /** Kebab-case code, as \c least-predicted-wait or \c no-healthy-endpoint. */
+    std::string reason;
+    double predictedMs = 0;
+    /** Scores of up to three alternatives, as \c ep-2=140,ep-5=180. */
+    std::string alternatives;
+
+    bool operator==(const RoutingDecision &) const = default;
+};
+
+/** Source of uniformly distributed numbers in [0, 1). */
+using RandomSource = std::function<double()>;
+
+/** Chooses an endpoint for \a request among \a endpoints. \returns the decision; never an endpoint that is leaving, unhealthy or of another version */
+RoutingDecision chooseEndpoint(const std::vector<EndpointView> &endpoints, const RoutingRequest &request, const RandomSource &random);
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Protocol/Settings.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Apricothead {
+
+/** \class TimingSettings
+ * \ingroup Protocol_Module
+ * \brief Bounds on silence and age, shared by all roles.
+ */
+struct TimingSettings {
+    std::chrono::milliseconds linkHeartbeat{250};
+    /** An open connection between processes that is silent for this long is closed and made anew. */
+    std::chrono::milliseconds linkSilence{1500};
+    /** Interval of Heartbeat messages to the replicas. */
+    std::chrono::milliseconds directoryHeartbeat{500};
+    /** An endpoint process silent for this long is no longer a candidate. */
+    std::chrono::milliseconds endpointSilence{3000};
+    /** An endpoint process silent for this long is gone: its open records are settled as lost. */
+    std::chrono::milliseconds endpointLost{20000};
+    /** Age after which an unused admission is void at the endpoint process. */
+    std::chrono::milliseconds admissionValidity{5000};
+    std::chrono::milliseconds loadReport{200};
+    /** Longest wait for one proposal before the entry refuses. */
+    std::chrono::milliseconds proposal{3000};
+    /** Longest graceful shutdown; what still runs then is cut and named in the log. */
+    std::chrono::milliseconds shutdown{60000};
+    std::chrono::milliseconds raftTick{20};
+    unsigned raftElectionTicks = 25;
+    unsigned raftHeartbeatTicks = 5;
+
+    bool operator==(const TimingSettings &) const = default;
+};
+
+/** \class OperatorToken
+ * \ingroup Protocol_Module
+ * \brief An operator's token, stored as its SHA-256 in lower-case hexadecimal.
+ */
+struct OperatorToken {
+    std::string name;
+    std::string sha256;
+    bool readOnly = true;
+
+    bool operator==(const OperatorToken &) const = default;
+};
+
+/** \class EntrySettings
+ * \ingroup Protocol_Module
+ * \brief The entry role: where callers and operators connect, and their limits.
+ */
+struct EntrySettings {
+    std::string callerAddress;
+    /** Empty: nothing listens for operators. */
+    std::string operatorAddress;
+    std::vector<OperatorToken> operatorTokens;
+    /** URL of the service that rates answers; empty when there is none. */
+    std::string ratingUrl;
+    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::size_t maxHeaderBytes = 32 * 1024;
+    unsigned maxConnections = 1024;
+    std::chrono::seconds idleTimeout{30};
+    std::chrono::milliseconds keepAlive{5000};
+    std::chrono::milliseconds requestDeadline{120000};
+
+    bool operator==(const EntrySettings &) const = default;
+};
+
+/** \class ServedSettings
+ * \ingroup Protocol_Module
+ * \brief A model and version that an endpoint serves.
+ */
+struct ServedSettings {
+    std::string model;
+    std::string version;
+
+    bool operator==(const ServedSettings &) const = default;
+};
+
+/** \class EndpointSettings
+ * \ingroup Protocol_Module
+ * \brief The endpoint role: the engine or plain service beside this process.
+ */
+struct EndpointSettings {
+    std::string id;
+    /** Where entries connect. */
+    std::string address;
+    /** Base URL of the engine or plain service. */
+    std::string engineUrl;
+    /** True for a model engine, false for a plain service. */
+    bool chat = true;
+    std::vector<ServedSettings> served;
+    unsigned capacity = 16;
+    /** Bytes of answers kept for replay; at the bound the engine's stream is slowed. */
+    std::size_t bufferBytes = 8 * 1024 * 1024;
+    std::chrono::milliseconds engineConnect{1000};
+    /** No byte from the engine for this long ends the run. */
+    std::chrono::milliseconds engineSilence{30000};
+    std::chrono::milliseconds answerKept{30000};
+
+    bool operator==(const EndpointSettings &) const = default;
+};
+
+/** \class ReplicaSettings
+ * \ingroup Protocol_Module
+ * \brief The replica role: where it listens and where its state lives.
+ */
+struct ReplicaSettings {
+    std::string address;
+    std::string dataFolder;
+    bool groupCommit = true;
+    std::uint64_t snapshotEvery = 10000;
+    std::chrono::hours recordKept{24};
+
+    bool operator==(const ReplicaSettings &) const = default;
+};
+
+/** \class Settings
+ * \ingroup Protocol_Module
+ * \brief What one process is told by its settings file.
+ */
+struct Settings {
+    std::string process;
+    std::string group = "main";
+    std::string region = "local";
+    std::string availabilityZone;
+    /** IP and port of each replica. */
+    std::vector<std::string> seeds;
+    std::string logLevel = "info";
+    TimingSettings timing;
+    std::optional<EntrySettings> entry;
+    std::optional<EndpointSettings> endpoint;
+    std::optional<ReplicaSettings> replica;
+
+    bool operator==(const Settings &) const = default;
+};
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Transport/HttpClient.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "HttpServer.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Apricothead {
+
+class EventLoop;
+
+/** \class HttpResult
+ * \ingroup Transport_Module
+ * \brief How a call ended.
+ */
+struct HttpResult {
+    /** True when the answer arrived whole. */
+    bool whole = false;
+    /** True when it is certain that no byte of the request left this process, for instance since the connection was refused. */
+    bool neverSent = false;
+    /** 0 when no head arrived. */
+    unsigned status = 0;
+    std::string error;
+};
+
+/** \class HttpCallOptions
+ * \ingroup Transport_Module
+ * \brief One request of an HttpClient and its hooks, called on the loop's thread.
+ */
+struct HttpCallOptions {
+    std::string method = "GET";
+    std::string url;
+    HttpHeaders headers;
+    std::string body;
+    std::chrono::milliseconds connectTimeout{2000};
+    /** No byte received for this long ends the call; zero means no bound. */
+    std::chrono::milliseconds silence{0};
+    std::chrono::milliseconds total{0};
+    std::function<void(unsigned status, const HttpHeaders &headers)> onHead;
+    std::function<void(std::string_view)> onData;
+    std::function<void(const HttpResult &)> onDone;
+};
+
+/** \class HttpCall
+ * \ingroup Transport_Module
+ * \brief A call under way. Dropping it cancels the call without calling onDone.
+ */
+class HttpCall
+{
+public:
+    virtual ~HttpCall() = default;
+    /** Stops taking bytes until resume(); the peer is slowed by TCP. */
+    virtual void pause() = 0;
+    virtual void resume() = 0;
+};
+
+/** \class HttpClient
+ * \ingroup Transport_Module
+ * \brief libcurl multi on an EventLoop.
+ */
+class HttpClient
+{
+public:
+    explicit HttpClient(EventLoop &loop);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    std::unique_ptr<HttpCall> start(HttpCallOptions options);
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Apricothead
--- /dev/null
+++ b/app/main.cpp
@@ -0,0 +1,7 @@
+#include <iostream>
+
+int main()
+{
+    std::cout << "apricothead\n";
+    return 0;
+}
