ReplicaClient: heartbeats, proposals with retry, newest configuration and directory

Cause: entries, endpoint processes and the operator service all need one link to the replicas. Ruled out: one link to the leader only (a leader cut off from its group would hold every call until its deadline). Change: a Dealer per seed; a call unanswered for 400 ms goes to another replica; the leader's directory counts. Before: header only. After: compiles; not yet run against replicas. Conclusion: to be proved by the process tests.

--- /dev/null
+++ b/Apricothead/src/Coordination/ReplicaClient.cpp
@@ -0,0 +1,411 @@
+#include "ReplicaClient.h"
+
+#include "../Transport/Dealer.h"
+#include "../Transport/EventLoop.h"
+#include "../Transport/Log.h"
+#include "../Transport/Timer.h"
+
+#include <google/protobuf/util/message_differencer.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace Apricothead {
+namespace detail {
+
+constexpr std::chrono::milliseconds ScanInterval{50};
+/** A call unanswered for this long is sent to another replica. */
+constexpr std::uint64_t ResendAfterMs = 400;
+
+/** One proposal, query or membership change until it is answered. */
+struct PendingCall {
+    Wire::Envelope message;
+    std::uint64_t deadlineMs = 0;
+    std::uint64_t resendAtMs = 0;
+    /** Sends that no reply has declared as not appended. */
+    unsigned unresolved = 0;
+    std::size_t lastSeed = 0;
+    /** Called once: with the reply, or with null at the deadline. */
+    std::function<void(const Wire::Envelope *)> done;
+};
+
+bool saysNotAppended(const Wire::Envelope &reply)
+{
+    return reply.has_propose_reply() && reply.propose_reply().status() == Wire::PROPOSE_STATUS_NOT_APPENDED;
+}
+
+bool saysUnknown(const Wire::Envelope &reply)
+{
+    return reply.has_propose_reply() && reply.propose_reply().status() == Wire::PROPOSE_STATUS_UNKNOWN;
+}
+
+bool saysUnavailable(const Wire::Envelope &reply)
+{
+    if (reply.has_query_reply()) {
+        return reply.query_reply().error().code() == Wire::ERROR_CODE_UNAVAILABLE;
+    }
+    return reply.has_change_members_reply() && reply.change_members_reply().error().code() == Wire::ERROR_CODE_UNAVAILABLE;
+}
+
+std::uint64_t callOf(const Wire::Envelope &reply)
+{
+    switch (reply.body_case()) {
+    case Wire::Envelope::kProposeReply:
+        return reply.propose_reply().call();
+    case Wire::Envelope::kQueryReply:
+        return reply.query_reply().call();
+    case Wire::Envelope::kChangeMembersReply:
+        return reply.change_members_reply().call();
+    default:
+        return 0;
+    }
+}
+
+bool sameEndpoints(const std::vector<Wire::EndpointStatus> &former, const std::vector<Wire::EndpointStatus> &latter)
+{
+    return std::equal(former.begin(), former.end(), latter.begin(), latter.end(), [](const auto &left, const auto &right) {
+        return google::protobuf::util::MessageDifferencer::Equals(left, right);
+    });
+}
+
+Wire::Error unavailable()
+{
+    Wire::Error error;
+    error.set_code(Wire::ERROR_CODE_UNAVAILABLE);
+    error.set_message("no replica answered in time");
+    error.set_remedy("check with `apricothead report` that a majority of the replicas is up, then try again");
+    return error;
+}
+
+} // namespace detail
+
+struct ReplicaClient::Private {
+    Private(EventLoop &eventLoop, ReplicaClientOptions given)
+        : loop(eventLoop)
+        , options(std::move(given))
+        , heartbeatTimer(loop,
+                         [this] {
+                             this->sendHeartbeats();
+                         })
+        , scanTimer(loop, [this] {
+            this->scan();
+        })
+    { }
+
+    void connect()
+    {
+        for (std::size_t seed = 0; seed < this->options.seeds.size(); ++seed) {
+            this->dealers.push_back(std::make_unique<Dealer>(this->loop,
+                                                             DealerOptions{
+                                                                 .address = this->options.seeds[seed],
+                                                                 .heartbeat = this->options.linkHeartbeat,
+                                                                 .silence = this->options.linkSilence,
+                                                                 .onMessage =
+                                                                     [this, seed](std::string_view bytes) {
+                                                                         this->receive(seed, bytes);
+                                                                     },
+                                                                 .onConnected =
+                                                                     [this, seed] {
+                                                                         this->directoryNumbers[seed] = 0;
+                                                                         this->sendHeartbeat(seed);
+                                                                     },
+                                                                 .onSilent =
+                                                                     [this, seed] {
+                                                                         this->forget(seed);
+                                                                     },
+                                                             }));
+        }
+        this->heartbeatTimer.startRepeating(this->options.heartbeat);
+        this->sendHeartbeats();
+    }
+
+    Wire::Envelope envelope() const
+    {
+        Wire::Envelope message;
+        message.set_group(this->options.group);
+        message.set_sender(this->options.process);
+        message.set_sender_incarnation(this->options.incarnation);
+        return message;
+    }
+
+    void sendHeartbeat(std::size_t seed)
+    {
+        Wire::Envelope message = this->envelope();
+        if (this->options.describe) {
+            *message.mutable_heartbeat() = this->options.describe();
+        }
+        message.mutable_heartbeat()->set_process(this->options.process);
+        message.mutable_heartbeat()->set_revision(this->configuration.revision());
+        message.mutable_heartbeat()->set_directory_number(this->directoryNumbers[seed]);
+        this->dealers[seed]->send(message.SerializeAsString());
+    }
+
+    void sendHeartbeats()
+    {
+        for (std::size_t seed = 0; seed < this->dealers.size(); ++seed) {
+            this->sendHeartbeat(seed);
+        }
+    }
+
+    /** The calls last sent to a replica that went silent are sent elsewhere at the next scan. */
+    void forget(std::size_t seed)
+    {
+        if (this->leader == this->options.seeds[seed]) {
+            this->leader.clear();
+        }
+        for (auto &[id, call] : this->calls) {
+            if (call.lastSeed == seed) {
+                call.resendAtMs = 0;
+            }
+        }
+    }
+
+    std::size_t chooseSeed()
+    {
+        const auto known = std::find(this->options.seeds.begin(), this->options.seeds.end(), this->leader);
+        if (known != this->options.seeds.end()) {
+            return static_cast<std::size_t>(known - this->options.seeds.begin());
+        }
+        for (std::size_t step = 0; step < this->dealers.size(); ++step) {
+            this->nextSeed = (this->nextSeed + 1) % this->dealers.size();
+            if (this->dealers[this->nextSeed]->isConnected()) {
+                return this->nextSeed;
+            }
+        }
+        return this->nextSeed;
+    }
+
+    void sendCall(detail::PendingCall &call)
+    {
+        if (this->dealers.empty()) {
+            return;
+        }
+        call.lastSeed = this->chooseSeed();
+        call.resendAtMs = this->loop.nowMs() + detail::ResendAfterMs;
+        if (this->dealers[call.lastSeed]->send(call.message.SerializeAsString())) {
+            ++call.unresolved;
+        }
+    }
+
+    void start(std::uint64_t id, detail::PendingCall call, std::chrono::milliseconds deadline)
+    {
+        call.deadlineMs = this->loop.nowMs() + static_cast<std::uint64_t>(deadline.count());
+        const auto [place, added] = this->calls.emplace(id, std::move(call));
+        this->sendCall(place->second);
+        if (!this->scanTimer.isActive()) {
+            this->scanTimer.startRepeating(detail::ScanInterval);
+        }
+    }
+
+    void scan()
+    {
+        const std::uint64_t now = this->loop.nowMs();
+        std::vector<detail::PendingCall> late;
+        for (auto place = this->calls.begin(); place != this->calls.end();) {
+            if (now >= place->second.deadlineMs) {
+                late.push_back(std::move(place->second));
+                place = this->calls.erase(place);
+                continue;
+            }
+            if (now >= place->second.resendAtMs) {
+                this->avoidSilentLeader(place->second);
+                this->sendCall(place->second);
+            }
+            ++place;
+        }
+        if (this->calls.empty()) {
+            this->scanTimer.stop();
+        }
+        for (const detail::PendingCall &call : late) {
+            this->lateUnresolved = call.unresolved;
+            call.done(nullptr);
+        }
+    }
+
+    /** A leader that left a call unanswered may be cut off from its group: ask another replica. */
+    void avoidSilentLeader(const detail::PendingCall &call)
+    {
+        if (this->leader == this->options.seeds[call.lastSeed] && call.resendAtMs != 0) {
+            this->leader.clear();
+        }
+    }
+
+    void receive(std::size_t seed, std::string_view bytes)
+    {
+        Wire::Envelope message;
+        if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || message.group() != this->options.group) {
+            logLine(LogLevel::Warning, "message-refused", {{"from", message.sender()}});
+            return;
+        }
+        if (message.has_update()) {
+            this->takeUpdate(seed, message.update());
+            return;
+        }
+        this->takeReply(message);
+    }
+
+    void takeUpdate(std::size_t seed, const Wire::ClusterUpdate &update)
+    {
+        if (!update.leader_address().empty()) {
+            this->leader = update.leader_address();
+        }
+        if (update.configuration().revision() > this->configuration.revision()) {
+            this->configuration = update.configuration();
+            if (this->options.onConfiguration) {
+                this->options.onConfiguration(this->configuration);
+            }
+            // Tells the replicas at once that the revision is in force here.
+            this->sendHeartbeats();
+        }
+        if (update.directory_changed()) {
+            this->directories[seed].assign(update.endpoints().begin(), update.endpoints().end());
+            this->directoryNumbers[seed] = update.directory_number();
+        }
+        this->chooseDirectory(seed);
+    }
+
+    /** Each replica lists what it hears itself; the leader's list counts, since a replica that is cut off lists too little. */
+    void chooseDirectory(std::size_t heardSeed)
+    {
+        std::size_t source = heardSeed;
+        for (std::size_t seed = 0; seed < this->options.seeds.size(); ++seed) {
+            if (this->options.seeds[seed] == this->leader && this->directories.contains(seed)) {
+                source = seed;
+            }
+        }
+        const std::vector<Wire::EndpointStatus> &listed = this->directories[source];
+        if (detail::sameEndpoints(listed, this->endpoints)) {
+            return;
+        }
+        this->endpoints = listed;
+        if (this->options.onDirectory) {
+            this->options.onDirectory(this->endpoints);
+        }
+    }
+
+    void takeReply(const Wire::Envelope &reply)
+    {
+        const auto place = this->calls.find(detail::callOf(reply));
+        if (place == this->calls.end()) {
+            return;
+        }
+        if (reply.has_propose_reply() && !reply.propose_reply().leader_address().empty()) {
+            this->leader = reply.propose_reply().leader_address();
+        }
+        if (detail::saysNotAppended(reply) && place->second.unresolved > 0) {
+            --place->second.unresolved;
+        }
+        if (detail::saysNotAppended(reply) || detail::saysUnknown(reply) || detail::saysUnavailable(reply)) {
+            place->second.resendAtMs = 0;
+            return;
+        }
+        const detail::PendingCall call = std::move(place->second);
+        this->calls.erase(place);
+        call.done(&reply);
+    }
+
+    EventLoop &loop;
+    ReplicaClientOptions options;
+    Timer heartbeatTimer;
+    Timer scanTimer;
+    std::vector<std::unique_ptr<Dealer>> dealers;
+    std::map<std::size_t, std::uint64_t> directoryNumbers;
+    std::map<std::size_t, std::vector<Wire::EndpointStatus>> directories;
+    std::map<std::uint64_t, detail::PendingCall> calls;
+    std::uint64_t nextCall = 1;
+    std::size_t nextSeed = 0;
+    unsigned lateUnresolved = 0;
+    std::string leader;
+    Wire::Configuration configuration;
+    std::vector<Wire::EndpointStatus> endpoints;
+};
+
+ReplicaClient::ReplicaClient(EventLoop &loop, ReplicaClientOptions options) : d(std::make_unique<Private>(loop, std::move(options)))
+{
+    this->d->connect();
+}
+
+ReplicaClient::~ReplicaClient() = default;
+
+void ReplicaClient::propose(Wire::Command command, std::chrono::milliseconds deadline, std::function<void(const ProposeOutcome &)> done)
+{
+    const std::uint64_t id = this->d->nextCall++;
+    detail::PendingCall call;
+    call.message = this->d->envelope();
+    call.message.mutable_propose()->set_call(id);
+    *call.message.mutable_propose()->mutable_command() = std::move(command);
+    call.done = [this, done = std::move(done)](const Wire::Envelope *reply) {
+        ProposeOutcome outcome;
+        if (reply != nullptr) {
+            outcome.status = reply->propose_reply().status();
+            outcome.result = reply->propose_reply().result();
+        } else if (this->d->lateUnresolved == 0) {
+            outcome.status = Wire::PROPOSE_STATUS_NOT_APPENDED;
+        }
+        done(outcome);
+    };
+    this->d->start(id, std::move(call), deadline);
+}
+
+void ReplicaClient::query(Wire::Query query, std::chrono::milliseconds deadline, std::function<void(const Wire::QueryReply &)> done)
+{
+    const std::uint64_t id = this->d->nextCall++;
+    detail::PendingCall call;
+    call.message = this->d->envelope();
+    *call.message.mutable_query() = std::move(query);
+    call.message.mutable_query()->set_call(id);
+    call.done = [done = std::move(done)](const Wire::Envelope *reply) {
+        Wire::QueryReply late;
+        *late.mutable_error() = detail::unavailable();
+        done(reply != nullptr ? reply->query_reply() : late);
+    };
+    this->d->start(id, std::move(call), deadline);
+}
+
+void ReplicaClient::changeMembers(Wire::ChangeMembers change, std::chrono::milliseconds deadline, std::function<void(const Wire::ChangeMembersReply &)> done)
+{
+    const std::uint64_t id = this->d->nextCall++;
+    detail::PendingCall call;
+    call.message = this->d->envelope();
+    *call.message.mutable_change_members() = std::move(change);
+    call.message.mutable_change_members()->set_call(id);
+    call.done = [done = std::move(done)](const Wire::Envelope *reply) {
+        Wire::ChangeMembersReply late;
+        *late.mutable_error() = detail::unavailable();
+        done(reply != nullptr ? reply->change_members_reply() : late);
+    };
+    this->d->start(id, std::move(call), deadline);
+}
+
+void ReplicaClient::heartbeatNow()
+{
+    this->d->sendHeartbeats();
+}
+
+const Wire::Configuration &ReplicaClient::configuration() const
+{
+    return this->d->configuration;
+}
+
+const std::vector<Wire::EndpointStatus> &ReplicaClient::endpoints() const
+{
+    return this->d->endpoints;
+}
+
+std::string ReplicaClient::leaderAddress() const
+{
+    return this->d->leader;
+}
+
+bool ReplicaClient::isConnected() const
+{
+    for (const auto &dealer : this->d->dealers) {
+        if (dealer->isConnected()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace Apricothead
