Gate and answer buffer of the endpoint process

Cause: the last check before an engine must start each (key, attempt) at most once, and keep answers for replay in bounded memory.

--- /dev/null
+++ b/Apricothead/src/Coordination/RunBuffer.cpp
@@ -0,0 +1,344 @@
+#include "RunBuffer.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Apricothead {
+namespace detail {
+
+/** Memory that a chunk takes beside its text. */
+constexpr std::size_t ChunkOverheadBytes = 64;
+
+std::size_t chunkBytes(const std::string &chunk)
+{
+    return chunk.size() + ChunkOverheadBytes;
+}
+
+std::uint64_t creditLimit(std::uint64_t fromChunk, std::uint32_t credit)
+{
+    // An entry that names no credit takes all.
+    return credit == 0 ? std::numeric_limits<std::uint64_t>::max() : fromChunk + credit;
+}
+
+} // namespace detail
+
+std::uint64_t RunBuffer::Answer::endChunk() const
+{
+    return this->firstChunk + this->chunks.size();
+}
+
+RunBuffer::RunBuffer(RunBufferOptions bufferOptions) : options(bufferOptions)
+{ }
+
+void RunBuffer::open(const RunId &id)
+{
+    Answer &answer = this->answers[id];
+    answer.order = this->nextOrder++;
+}
+
+void RunBuffer::setHead(const RunId &id, Wire::RunStarted head)
+{
+    const auto found = this->answers.find(id);
+    if (found == this->answers.end()) {
+        return;
+    }
+    found->second.head = std::move(head);
+}
+
+void RunBuffer::append(const RunId &id, std::string data)
+{
+    const auto found = this->answers.find(id);
+    if (found == this->answers.end()) {
+        return;
+    }
+    Answer &answer = found->second;
+    if (answer.givenUp) {
+        ++answer.firstChunk;
+        return;
+    }
+    this->heldBytes += detail::chunkBytes(data);
+    answer.chunks.push_back(std::move(data));
+}
+
+void RunBuffer::finish(const RunId &id, Wire::RunDone done, std::uint64_t nowMs)
+{
+    const auto found = this->answers.find(id);
+    if (found == this->answers.end()) {
+        return;
+    }
+    done.set_chunks(found->second.endChunk());
+    found->second.done = std::move(done);
+    found->second.endedAtMs = nowMs;
+}
+
+void RunBuffer::settled(const RunId &id)
+{
+    const auto found = this->answers.find(id);
+    if (found == this->answers.end()) {
+        return;
+    }
+    found->second.settled = true;
+}
+
+void RunBuffer::drop(const RunId &id)
+{
+    const auto found = this->answers.find(id);
+    if (found == this->answers.end()) {
+        return;
+    }
+    this->release(found->second, found->second.chunks.size());
+    this->answers.erase(found);
+}
+
+bool RunBuffer::attach(const RunId &id, const std::string &reader, std::uint64_t fromChunk, std::uint32_t credit)
+{
+    const auto found = this->answers.find(id);
+    if (found == this->answers.end() || found->second.givenUp || fromChunk < found->second.firstChunk) {
+        return false;
+    }
+    found->second.readers[reader]
+        = {.sendNext = fromChunk, .acknowledged = fromChunk, .limit = detail::creditLimit(fromChunk, credit), .headSent = false, .doneSent = false};
+    return true;
+}
+
+void RunBuffer::grant(const RunId &id, const std::string &reader, std::uint64_t nextChunk, std::uint32_t credit)
+{
+    const auto found = this->answers.find(id);
+    if (found == this->answers.end()) {
+        return;
+    }
+    Answer &answer = found->second;
+    const auto attached = answer.readers.find(reader);
+    if (attached == answer.readers.end()) {
+        return;
+    }
+    Reader &state = attached->second;
+    state.acknowledged = std::max(state.acknowledged, std::min(nextChunk, state.sendNext));
+    if (credit > 0) {
+        state.limit = std::max(state.limit, detail::creditLimit(nextChunk, credit));
+    }
+    if (state.doneSent && state.acknowledged >= answer.endChunk()) {
+        answer.delivered = true;
+    }
+}
+
+void RunBuffer::detach(const RunId &id, const std::string &reader, std::uint64_t nowMs)
+{
+    const auto found = this->answers.find(id);
+    if (found == this->answers.end()) {
+        return;
+    }
+    found->second.readers.erase(reader);
+    found->second.lonelySinceMs = nowMs;
+}
+
+std::vector<RunId> RunBuffer::detachAll(const std::string &reader, std::uint64_t nowMs)
+{
+    std::vector<RunId> left;
+    for (auto &[id, answer] : this->answers) {
+        if (answer.readers.erase(reader) == 0) {
+            continue;
+        }
+        answer.lonelySinceMs = nowMs;
+        left.push_back(id);
+    }
+    return left;
+}
+
+std::optional<Wire::Envelope> RunBuffer::next(const RunId &id, const std::string &reader) const
+{
+    const auto found = this->answers.find(id);
+    if (found == this->answers.end() || found->second.givenUp) {
+        return std::nullopt;
+    }
+    const Answer &answer = found->second;
+    const auto attached = answer.readers.find(reader);
+    if (attached == answer.readers.end() || attached->second.doneSent) {
+        return std::nullopt;
+    }
+    const Reader &state = attached->second;
+    Wire::Envelope envelope;
+    if (answer.head.has_value() && !state.headSent) {
+        *envelope.mutable_run_started() = *answer.head;
+        return envelope;
+    }
+    if (state.sendNext < answer.firstChunk) {
+        return std::nullopt;
+    }
+    if (state.sendNext < answer.endChunk()) {
+        if (state.sendNext >= state.limit) {
+            return std::nullopt;
+        }
+        Wire::Chunk *chunk = envelope.mutable_chunk();
+        *chunk->mutable_key() = requestKey(id);
+        chunk->set_attempt(id.attempt);
+        chunk->set_number(state.sendNext);
+        chunk->set_data(answer.chunks[state.sendNext - answer.firstChunk]);
+        return envelope;
+    }
+    if (answer.done.has_value()) {
+        *envelope.mutable_run_done() = *answer.done;
+        return envelope;
+    }
+    return std::nullopt;
+}
+
+void RunBuffer::advance(const RunId &id, const std::string &reader)
+{
+    const auto found = this->answers.find(id);
+    if (found == this->answers.end()) {
+        return;
+    }
+    Answer &answer = found->second;
+    const auto attached = answer.readers.find(reader);
+    if (attached == answer.readers.end()) {
+        return;
+    }
+    Reader &state = attached->second;
+    if (answer.head.has_value() && !state.headSent) {
+        state.headSent = true;
+        return;
+    }
+    if (state.sendNext < answer.endChunk()) {
+        ++state.sendNext;
+        return;
+    }
+    state.doneSent = true;
+    if (state.acknowledged >= answer.endChunk()) {
+        answer.delivered = true;
+    }
+}
+
+bool RunBuffer::mayTake(const RunId &id, std::uint64_t nowMs)
+{
+    const auto found = this->answers.find(id);
+    if (found == this->answers.end() || this->makeRoom()) {
+        return true;
+    }
+    Answer &answer = found->second;
+    if (!this->isOldestRunning(answer)) {
+        return false;
+    }
+    if (answer.givenUp) {
+        return true;
+    }
+    if (!answer.readers.empty()) {
+        this->trim(answer);
+        return this->heldBytes < this->options.bytes;
+    }
+    const auto kept = static_cast<std::uint64_t>(this->options.answerKept.count());
+    if (nowMs - answer.lonelySinceMs < kept) {
+        return false;
+    }
+    // Nobody came back for it: the run goes on for its bill, without its answer.
+    this->release(answer, answer.chunks.size());
+    answer.givenUp = true;
+    return true;
+}
+
+std::vector<RunId> RunBuffer::expire(std::uint64_t nowMs)
+{
+    const auto kept = static_cast<std::uint64_t>(this->options.answerKept.count());
+    std::vector<RunId> expired;
+    expired.swap(this->evicted);
+    for (auto each = this->answers.begin(); each != this->answers.end();) {
+        Answer &answer = each->second;
+        const bool isOver = answer.done.has_value() && answer.settled && nowMs - answer.endedAtMs >= kept;
+        if (!isOver) {
+            ++each;
+            continue;
+        }
+        this->release(answer, answer.chunks.size());
+        expired.push_back(each->first);
+        each = this->answers.erase(each);
+    }
+    return expired;
+}
+
+std::vector<std::string> RunBuffer::readers(const RunId &id) const
+{
+    std::vector<std::string> names;
+    const auto found = this->answers.find(id);
+    if (found == this->answers.end()) {
+        return names;
+    }
+    for (const auto &[name, state] : found->second.readers) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+bool RunBuffer::hasReaders(const RunId &id) const
+{
+    const auto found = this->answers.find(id);
+    return found != this->answers.end() && !found->second.readers.empty();
+}
+
+bool RunBuffer::isKept(const RunId &id) const
+{
+    const auto found = this->answers.find(id);
+    return found != this->answers.end() && !found->second.givenUp;
+}
+
+bool RunBuffer::isDelivered() const
+{
+    return std::all_of(this->answers.begin(), this->answers.end(), [](const auto &each) {
+        return each.second.done.has_value() && each.second.settled && (each.second.delivered || each.second.givenUp);
+    });
+}
+
+std::size_t RunBuffer::bytes() const
+{
+    return this->heldBytes;
+}
+
+void RunBuffer::release(Answer &answer, std::size_t count)
+{
+    for (std::size_t released = 0; released < count; ++released) {
+        this->heldBytes -= detail::chunkBytes(answer.chunks.front());
+        answer.chunks.pop_front();
+        ++answer.firstChunk;
+    }
+}
+
+void RunBuffer::trim(Answer &answer)
+{
+    std::uint64_t had = answer.endChunk();
+    for (const auto &[name, state] : answer.readers) {
+        had = std::min(had, state.acknowledged);
+    }
+    if (had > answer.firstChunk) {
+        this->release(answer, had - answer.firstChunk);
+    }
+}
+
+bool RunBuffer::isOldestRunning(const Answer &answer) const
+{
+    return std::none_of(this->answers.begin(), this->answers.end(), [&](const auto &each) {
+        return !each.second.done.has_value() && each.second.order < answer.order;
+    });
+}
+
+bool RunBuffer::makeRoom()
+{
+    while (this->heldBytes >= this->options.bytes) {
+        auto oldest = this->answers.end();
+        for (auto each = this->answers.begin(); each != this->answers.end(); ++each) {
+            if (!each->second.settled || !each->second.delivered || each->second.chunks.empty()) {
+                continue;
+            }
+            if (oldest == this->answers.end() || each->second.endedAtMs < oldest->second.endedAtMs) {
+                oldest = each;
+            }
+        }
+        if (oldest == this->answers.end()) {
+            return false;
+        }
+        this->release(oldest->second, oldest->second.chunks.size());
+        this->evicted.push_back(oldest->first);
+        this->answers.erase(oldest);
+    }
+    return true;
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/RunBuffer.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "../Protocol/RunId.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Apricothead {
+
+/** \class RunBufferOptions
+ * \ingroup Coordination_Module
+ * \brief Bounds of a RunBuffer.
+ */
+struct RunBufferOptions {
+    /** Bytes kept over all runs; the engines' streams are slowed at the bound. */
+    std::size_t bytes = 8 * 1024 * 1024;
+    /** An ended answer is kept for replay this long, or less when room is needed and an entry has all of it. */
+    std::chrono::milliseconds answerKept{30000};
+};
+
+/** \class RunBuffer
+ * \ingroup Coordination_Module
+ * \brief The numbered chunks of all runs of an endpoint process, for delivery and replay to several entries.
+ *
+ * At the bound, mayTake() lets only the oldest run go on; it then gives up chunks that its readers have, so that one run always proceeds.
+ * Reads no clock: times are milliseconds of the endpoint process's own monotonic clock.
+ */
+class RunBuffer
+{
+public:
+    explicit RunBuffer(RunBufferOptions options);
+
+    void open(const RunId &id);
+    void setHead(const RunId &id, Wire::RunStarted head);
+    void append(const RunId &id, std::string data);
+    void finish(const RunId &id, Wire::RunDone done, std::uint64_t nowMs);
+    /** The bill of the run is committed. */
+    void settled(const RunId &id);
+    /** Removes a run that has no answer. */
+    void drop(const RunId &id);
+
+    /** \returns false when the run is unknown or chunk \a fromChunk is no longer kept */
+    bool attach(const RunId &id, const std::string &reader, std::uint64_t fromChunk, std::uint32_t credit);
+    /** \a reader has all chunks below \a nextChunk and takes \a credit more from there. */
+    void grant(const RunId &id, const std::string &reader, std::uint64_t nextChunk, std::uint32_t credit);
+    void detach(const RunId &id, const std::string &reader, std::uint64_t nowMs);
+    /** \returns the runs that \a reader was attached to */
+    std::vector<RunId> detachAll(const std::string &reader, std::uint64_t nowMs);
+
+    /** \returns the message that \a reader is to get next: head, chunk or end; nothing while it has no credit or nothing is there */
+    std::optional<Wire::Envelope> next(const RunId &id, const std::string &reader) const;
+    /** The message of next() was taken by the link. */
+    void advance(const RunId &id, const std::string &reader);
+
+    /** \returns whether the engine's stream of \a id may go on */
+    bool mayTake(const RunId &id, std::uint64_t nowMs);
+
+    /** Gives up answers that need not be kept longer. \returns their runs */
+    std::vector<RunId> expire(std::uint64_t nowMs);
+
+    std::vector<std::string> readers(const RunId &id) const;
+    bool hasReaders(const RunId &id) const;
+    bool isKept(const RunId &id) const;
+    /** \returns true when some entry has all of every ended answer, and every bill is committed */
+    bool isDelivered() const;
+    std::size_t bytes() const;
+
+private:
+    struct Reader {
+        std::uint64_t sendNext = 0;
+        std::uint64_t acknowledged = 0;
+        std::uint64_t limit = 0;
+        bool headSent = false;
+        bool doneSent = false;
+    };
+    struct Answer {
+        std::uint64_t order = 0;
+        std::optional<Wire::RunStarted> head;
+        std::deque<std::string> chunks;
+        std::uint64_t firstChunk = 0;
+        std::optional<Wire::RunDone> done;
+        std::uint64_t endedAtMs = 0;
+        std::uint64_t lonelySinceMs = 0;
+        std::map<std::string, Reader> readers;
+        bool settled = false;
+        bool delivered = false;
+        bool givenUp = false;
+
+        std::uint64_t endChunk() const;
+    };
+
+    void release(Answer &answer, std::size_t count);
+    void trim(Answer &answer);
+    bool isOldestRunning(const Answer &answer) const;
+    bool makeRoom();
+
+    RunBufferOptions options;
+    std::map<RunId, Answer> answers;
+    std::vector<RunId> evicted;
+    std::size_t heldBytes = 0;
+    std::uint64_t nextOrder = 0;
+};
+
+} // namespace Apricothead
--- /dev/null
+++ b/test/endpointgate.cpp
@@ -0,0 +1,194 @@
+#define BOOST_TEST_MODULE endpointgate
+#include "main.h"
+
+#include <Apricothead/Coordination>
+
+using namespace Apricothead;
+
+namespace {
+
+constexpr std::uint64_t Incarnation = 77;
+constexpr std::uint64_t Now = 100000;
+
+EndpointGate makeGate(std::size_t maxRecords = 1000, unsigned capacity = 4)
+{
+    return EndpointGate({.endpoint = "ep-1",
+                         .incarnation = Incarnation,
+                         .served = {{.model = "small", .version = "small-1"}},
+                         .capacity = capacity,
+                         .admissionValidity = std::chrono::milliseconds(5000),
+                         .recordKept = std::chrono::milliseconds(10000),
+                         .maxRecords = maxRecords});
+}
+
+Wire::Run makeRun(const std::string &key, std::uint64_t gateTimeMs = Now)
+{
+    Wire::Run run;
+    Wire::Admission &admission = *run.mutable_admission();
+    admission.mutable_key()->set_organisation("creek");
+    admission.mutable_key()->set_key(key);
+    admission.set_attempt(1);
+    admission.set_model("small");
+    admission.set_version("small-1");
+    admission.set_endpoint("ep-1");
+    admission.set_incarnation(Incarnation);
+    admission.set_gate_time_ms(gateTimeMs);
+    return run;
+}
+
+RunId idOf(const Wire::Run &run)
+{
+    return runId(run.admission().key(), run.admission().attempt());
+}
+
+Wire::Void voidOf(const Wire::Run &run)
+{
+    Wire::Void request;
+    *request.mutable_key() = run.admission().key();
+    request.set_attempt(run.admission().attempt());
+    request.set_incarnation(run.admission().incarnation());
+    request.set_gate_time_ms(run.admission().gate_time_ms());
+    return request;
+}
+
+void requireRefused(const GateDecision &decision, Wire::RefusalReason reason, Verdict verdict)
+{
+    BOOST_CHECK(decision.action == GateAction::Refuse);
+    BOOST_TEST(decision.reason == reason);
+    BOOST_CHECK(decision.verdict == verdict);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(startsOnceAndThenAttaches)
+{
+    EndpointGate gate = makeGate();
+    const Wire::Run run = makeRun("a");
+    BOOST_CHECK(gate.decide(run, Now).action == GateAction::Start);
+    BOOST_CHECK(gate.decide(run, Now + 1).action == GateAction::Attach);
+    gate.ended(idOf(run));
+    BOOST_CHECK(gate.decide(run, Now + 2).action == GateAction::Attach);
+    gate.answerGone(idOf(run), Now + 3);
+    requireRefused(gate.decide(run, Now + 4), Wire::REFUSAL_REASON_ANSWER_GONE, Verdict::Ran);
+    BOOST_TEST(gate.running() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(refusesWithTombstone)
+{
+    EndpointGate gate = makeGate();
+    Wire::Configuration configuration;
+    Wire::Version *version = configuration.add_versions();
+    version->set_id("small-1");
+    version->set_state(Wire::VERSION_STATE_WITHDRAWN);
+    gate.setConfiguration(configuration);
+    const Wire::Run run = makeRun("a");
+    requireRefused(gate.decide(run, Now), Wire::REFUSAL_REASON_WITHDRAWN, Verdict::NotRun);
+    gate.setConfiguration({});
+    requireRefused(gate.decide(run, Now), Wire::REFUSAL_REASON_TOMBSTONE, Verdict::NotRun);
+    requireRefused(gate.decide(run, Now + 20000), Wire::REFUSAL_REASON_STALE_ADMISSION, Verdict::NotRun);
+}
+
+BOOST_AUTO_TEST_CASE(refusesStaleAdmissions)
+{
+    EndpointGate gate = makeGate();
+    requireRefused(gate.decide(makeRun("old", Now - 5001), Now), Wire::REFUSAL_REASON_STALE_ADMISSION, Verdict::NotRun);
+    requireRefused(gate.decide(makeRun("ahead", Now + 1), Now), Wire::REFUSAL_REASON_STALE_ADMISSION, Verdict::NotRun);
+    BOOST_CHECK(gate.decide(makeRun("last", Now - 5000), Now).action == GateAction::Start);
+}
+
+BOOST_AUTO_TEST_CASE(otherIncarnationMayHaveRun)
+{
+    EndpointGate gate = makeGate();
+    Wire::Run run = makeRun("a");
+    run.mutable_admission()->set_incarnation(Incarnation - 1);
+    requireRefused(gate.decide(run, Now), Wire::REFUSAL_REASON_OTHER_INCARNATION, Verdict::MayHaveRun);
+    requireRefused(gate.decideVoid(voidOf(run), Now), Wire::REFUSAL_REASON_OTHER_INCARNATION, Verdict::MayHaveRun);
+}
+
+BOOST_AUTO_TEST_CASE(leavingNotServedAndFull)
+{
+    EndpointGate gate = makeGate(1000, 1);
+    Wire::Run other = makeRun("other");
+    other.mutable_admission()->set_version("small-2");
+    requireRefused(gate.decide(other, Now), Wire::REFUSAL_REASON_NOT_SERVED, Verdict::NotRun);
+    BOOST_CHECK(gate.decide(makeRun("a"), Now).action == GateAction::Start);
+    requireRefused(gate.decide(makeRun("b"), Now), Wire::REFUSAL_REASON_FULL, Verdict::NotRun);
+    gate.ended(idOf(makeRun("a")));
+    Wire::Configuration configuration;
+    configuration.add_drained_endpoints("ep-1");
+    gate.setConfiguration(configuration);
+    requireRefused(gate.decide(makeRun("c"), Now), Wire::REFUSAL_REASON_LEAVING, Verdict::NotRun);
+    gate.setConfiguration({});
+    BOOST_CHECK(gate.decide(makeRun("d"), Now).action == GateAction::Start);
+    gate.setStopping();
+    requireRefused(gate.decide(makeRun("e"), Now), Wire::REFUSAL_REASON_LEAVING, Verdict::NotRun);
+    BOOST_CHECK(gate.decide(makeRun("d"), Now).action == GateAction::Attach);
+}
+
+BOOST_AUTO_TEST_CASE(voidedRunNeverStarts)
+{
+    EndpointGate gate = makeGate();
+    const Wire::Run run = makeRun("a");
+    requireRefused(gate.decideVoid(voidOf(run), Now), Wire::REFUSAL_REASON_TOMBSTONE, Verdict::NotRun);
+    // At any time from now on, in particular at the last moment at which the admission is valid.
+    for (std::uint64_t later = 0; later < 12000; later += 100) {
+        BOOST_CHECK(gate.decide(run, Now + later).action == GateAction::Refuse);
+    }
+    const Wire::Run started = makeRun("b", Now + 12000);
+    BOOST_CHECK(gate.decide(started, Now + 12000).action == GateAction::Start);
+    BOOST_CHECK(gate.decideVoid(voidOf(started), Now + 12001).action == GateAction::Attach);
+}
+
+BOOST_AUTO_TEST_CASE(unreachableEngineLeavesTombstone)
+{
+    EndpointGate gate = makeGate();
+    const Wire::Run run = makeRun("a");
+    BOOST_CHECK(gate.decide(run, Now).action == GateAction::Start);
+    gate.notStarted(idOf(run), Now + 10);
+    requireRefused(gate.decide(run, Now + 20), Wire::REFUSAL_REASON_TOMBSTONE, Verdict::NotRun);
+    BOOST_TEST(gate.running() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(attachOnlyNeverStarts)
+{
+    EndpointGate gate = makeGate();
+    Wire::Run run = makeRun("a");
+    run.set_attach_only(true);
+    requireRefused(gate.decide(run, Now), Wire::REFUSAL_REASON_UNKNOWN_RUN, Verdict::NotRun);
+    run.set_attach_only(false);
+    requireRefused(gate.decide(run, Now), Wire::REFUSAL_REASON_TOMBSTONE, Verdict::NotRun);
+}
+
+BOOST_AUTO_TEST_CASE(forgottenRunIsNotCalledNotRun)
+{
+    EndpointGate gate = makeGate();
+    const Wire::Run run = makeRun("a");
+    BOOST_CHECK(gate.decide(run, Now).action == GateAction::Start);
+    gate.ended(idOf(run));
+    gate.answerGone(idOf(run), Now);
+    const std::uint64_t later = Now + 10001;
+    requireRefused(gate.decide(run, later), Wire::REFUSAL_REASON_ANSWER_GONE, Verdict::MayHaveRun);
+    requireRefused(gate.decideVoid(voidOf(run), later), Wire::REFUSAL_REASON_TOMBSTONE, Verdict::MayHaveRun);
+    BOOST_CHECK(gate.decide(makeRun("b", later), later).action == GateAction::Start);
+}
+
+BOOST_AUTO_TEST_CASE(recordsAreBoundedWithoutSecondStart)
+{
+    constexpr std::size_t MaxRecords = 50;
+    EndpointGate gate = makeGate(MaxRecords, 1000);
+    std::vector<Wire::Run> seen;
+    for (unsigned number = 0; number < 500; ++number) {
+        const std::uint64_t now = Now + number;
+        const Wire::Run run = makeRun("r" + std::to_string(number), now);
+        const GateDecision decision = number % 3 == 0 ? gate.decideVoid(voidOf(run), now) : gate.decide(run, now);
+        if (decision.action == GateAction::Start) {
+            gate.ended(idOf(run));
+            gate.answerGone(idOf(run), now);
+        }
+        seen.push_back(run);
+        BOOST_TEST(gate.recordCount() <= MaxRecords);
+        for (const Wire::Run &former : seen) {
+            BOOST_REQUIRE(gate.decide(former, now).action != GateAction::Start);
+        }
+    }
+}
--- /dev/null
+++ b/test/runbuffer.cpp
@@ -0,0 +1,159 @@
+#define BOOST_TEST_MODULE runbuffer
+#include "main.h"
+
+#include <Apricothead/Coordination>
+
+using namespace Apricothead;
+
+namespace {
+
+const RunId First{.organisation = "creek", .key = "first", .step = 0, .attempt = 1};
+const RunId Second{.organisation = "creek", .key = "second", .step = 0, .attempt = 1};
+
+RunBuffer makeBuffer(std::size_t bytes)
+{
+    return RunBuffer({.bytes = bytes, .answerKept = std::chrono::milliseconds(1000)});
+}
+
+std::string takeAll(RunBuffer &buffer, const RunId &id, const std::string &reader)
+{
+    std::string taken;
+    while (const std::optional<Wire::Envelope> message = buffer.next(id, reader)) {
+        if (message->has_run_started()) {
+            taken += "[";
+        }
+        if (message->has_chunk()) {
+            taken += message->chunk().data();
+        }
+        if (message->has_run_done()) {
+            taken += "]" + std::to_string(message->run_done().chunks());
+        }
+        buffer.advance(id, reader);
+    }
+    return taken;
+}
+
+void fill(RunBuffer &buffer, const RunId &id, const std::string &chunks)
+{
+    for (const char letter : chunks) {
+        buffer.append(id, std::string(1, letter));
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(deliversHeadChunksAndEnd)
+{
+    RunBuffer buffer = makeBuffer(100000);
+    buffer.open(First);
+    BOOST_TEST(buffer.attach(First, "entry-1", 0, 0));
+    fill(buffer, First, "ab");
+    buffer.setHead(First, {});
+    BOOST_TEST(takeAll(buffer, First, "entry-1") == "[ab");
+    fill(buffer, First, "c");
+    buffer.finish(First, {}, 10);
+    BOOST_TEST(takeAll(buffer, First, "entry-1") == "c]3");
+    BOOST_TEST(takeAll(buffer, First, "entry-1") == "");
+    BOOST_TEST(!buffer.isDelivered());
+    buffer.grant(First, "entry-1", 3, 10);
+    buffer.settled(First);
+    BOOST_TEST(buffer.isDelivered());
+}
+
+BOOST_AUTO_TEST_CASE(replaysFromAnyChunkToAnotherEntry)
+{
+    RunBuffer buffer = makeBuffer(100000);
+    buffer.open(First);
+    BOOST_TEST(buffer.attach(First, "entry-1", 0, 0));
+    buffer.setHead(First, {});
+    fill(buffer, First, "abcd");
+    BOOST_TEST(takeAll(buffer, First, "entry-1") == "[abcd");
+    BOOST_TEST(buffer.detachAll("entry-1", 5).size() == 1U);
+    BOOST_TEST(buffer.attach(First, "entry-2", 0, 0));
+    BOOST_TEST(buffer.attach(First, "entry-3", 2, 0));
+    fill(buffer, First, "e");
+    buffer.finish(First, {}, 10);
+    BOOST_TEST(takeAll(buffer, First, "entry-2") == "[abcde]5");
+    BOOST_TEST(takeAll(buffer, First, "entry-3") == "[cde]5");
+}
+
+BOOST_AUTO_TEST_CASE(keepsToTheCredit)
+{
+    RunBuffer buffer = makeBuffer(100000);
+    buffer.open(First);
+    BOOST_TEST(buffer.attach(First, "entry-1", 0, 2));
+    fill(buffer, First, "abcdef");
+    BOOST_TEST(takeAll(buffer, First, "entry-1") == "ab");
+    buffer.grant(First, "entry-1", 2, 2);
+    buffer.grant(First, "entry-1", 2, 2);
+    BOOST_TEST(takeAll(buffer, First, "entry-1") == "cd");
+}
+
+BOOST_AUTO_TEST_CASE(keepsTheAnswerUntilSettledAndItsTimeHasPassed)
+{
+    RunBuffer buffer = makeBuffer(100000);
+    buffer.open(First);
+    fill(buffer, First, "ab");
+    buffer.finish(First, {}, 10);
+    BOOST_TEST(buffer.expire(5000).empty());
+    buffer.settled(First);
+    BOOST_TEST(buffer.expire(1009).empty());
+    BOOST_TEST(buffer.expire(1010).size() == 1U);
+    BOOST_TEST(buffer.bytes() == 0U);
+    BOOST_TEST(!buffer.attach(First, "entry-1", 0, 0));
+}
+
+BOOST_AUTO_TEST_CASE(fullBufferSlowsAllButTheOldest)
+{
+    RunBuffer buffer = makeBuffer(10 * 65);
+    buffer.open(First);
+    buffer.open(Second);
+    BOOST_TEST(buffer.attach(First, "entry-1", 0, 0));
+    BOOST_TEST(buffer.attach(Second, "entry-1", 0, 0));
+    fill(buffer, First, "abcde");
+    BOOST_TEST(buffer.mayTake(First, 0));
+    BOOST_TEST(buffer.mayTake(Second, 0));
+    fill(buffer, Second, "vwxyz");
+    BOOST_TEST(!buffer.mayTake(First, 0));
+    BOOST_TEST(!buffer.mayTake(Second, 0));
+    BOOST_TEST(takeAll(buffer, First, "entry-1") == "abcde");
+    buffer.grant(First, "entry-1", 3, 10);
+    BOOST_TEST(!buffer.mayTake(Second, 0));
+    BOOST_TEST(buffer.mayTake(First, 0));
+    BOOST_TEST(buffer.bytes() == 7U * 65U);
+    BOOST_TEST(!buffer.attach(First, "entry-2", 0, 0));
+    BOOST_TEST(buffer.attach(First, "entry-2", 3, 0));
+}
+
+BOOST_AUTO_TEST_CASE(deliveredAnswersGiveWayFirst)
+{
+    RunBuffer buffer = makeBuffer(4 * 65);
+    buffer.open(First);
+    BOOST_TEST(buffer.attach(First, "entry-1", 0, 0));
+    fill(buffer, First, "ab");
+    buffer.finish(First, {}, 1);
+    BOOST_TEST(takeAll(buffer, First, "entry-1") == "ab]2");
+    buffer.grant(First, "entry-1", 2, 1);
+    buffer.open(Second);
+    fill(buffer, Second, "xy");
+    BOOST_TEST(!buffer.mayTake(Second, 2));
+    buffer.settled(First);
+    BOOST_TEST(buffer.mayTake(Second, 2));
+    const std::vector<RunId> expired = buffer.expire(2);
+    BOOST_TEST(expired.size() == 1U);
+    BOOST_CHECK(expired.front() == First);
+}
+
+BOOST_AUTO_TEST_CASE(abandonedRunGoesOnWithoutItsAnswer)
+{
+    RunBuffer buffer = makeBuffer(2 * 65);
+    buffer.open(First);
+    BOOST_TEST(buffer.attach(First, "entry-1", 0, 0));
+    fill(buffer, First, "ab");
+    buffer.detach(First, "entry-1", 100);
+    BOOST_TEST(!buffer.mayTake(First, 1099));
+    BOOST_TEST(buffer.mayTake(First, 1100));
+    BOOST_TEST(buffer.bytes() == 0U);
+    BOOST_TEST(!buffer.isKept(First));
+    BOOST_TEST(!buffer.attach(First, "entry-2", 0, 0));
+}
