--- /dev/null
+++ b/Apricothead/src/Coordination/Metrics.cpp
@@ -0,0 +1,91 @@
+#include "Metrics.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics.hpp>
+
+#include <array>
+#include <map>
+#include <sstream>
+#include <utility>
+
+namespace Apricothead {
+namespace detail {
+
+namespace Statistics = boost::accumulators;
+
+constexpr std::array<double, 3> Quantiles{0.5, 0.95, 0.99};
+constexpr std::array<const char *, 3> QuantileNames{"p50", "p95", "p99"};
+
+using Distribution = Statistics::accumulator_set<
+    double,
+    Statistics::stats<Statistics::tag::count, Statistics::tag::mean, Statistics::tag::max, Statistics::tag::extended_p_square_quantile>>;
+
+using MetricKey = std::pair<std::string, std::string>;
+
+void readDistribution(const MetricKey &key, const Distribution &distribution, std::vector<MetricLine> &lines)
+{
+    const auto add = [&](const char *statistic, double value) {
+        lines.push_back({.name = key.first, .label = key.second, .statistic = statistic, .value = value});
+    };
+    add("count", static_cast<double>(Statistics::count(distribution)));
+    add("mean", Statistics::mean(distribution));
+    add("max", Statistics::max(distribution));
+    for (std::size_t index = 0; index < Quantiles.size(); ++index) {
+        add(QuantileNames[index], Statistics::quantile(distribution, Statistics::quantile_probability = Quantiles[index]));
+    }
+}
+
+} // namespace detail
+
+struct Metrics::Private {
+    std::map<detail::MetricKey, std::uint64_t> counters;
+    std::map<detail::MetricKey, detail::Distribution> distributions;
+};
+
+Metrics::Metrics() : d(std::make_unique<Private>())
+{ }
+
+Metrics::~Metrics() = default;
+
+void Metrics::count(std::string_view name, std::string_view label, std::uint64_t amount)
+{
+    this->d->counters[{std::string(name), std::string(label)}] += amount;
+}
+
+void Metrics::observe(std::string_view name, std::string_view label, double value)
+{
+    const detail::MetricKey key{std::string(name), std::string(label)};
+    auto place = this->d->distributions.find(key);
+    if (place == this->d->distributions.end()) {
+        const detail::Distribution empty(detail::Statistics::extended_p_square_probabilities = detail::Quantiles);
+        place = this->d->distributions.emplace(key, empty).first;
+    }
+    place->second(value);
+}
+
+std::vector<MetricLine> Metrics::read() const
+{
+    std::vector<MetricLine> lines;
+    for (const auto &[key, value] : this->d->counters) {
+        lines.push_back({.name = key.first, .label = key.second, .statistic = {}, .value = static_cast<double>(value)});
+    }
+    for (const auto &[key, distribution] : this->d->distributions) {
+        detail::readDistribution(key, distribution, lines);
+    }
+    return lines;
+}
+
+std::string metricsPage(const std::vector<MetricLine> &lines)
+{
+    std::ostringstream page;
+    for (const MetricLine &line : lines) {
+        page << "apricothead_" << line.name << "{label=\"" << line.label << "\"";
+        if (!line.statistic.empty()) {
+            page << ",statistic=\"" << line.statistic << "\"";
+        }
+        page << "} " << line.value << '\n';
+    }
+    return page.str();
+}
+
+} // namespace Apricothead
--- a/Apricothead/src/Protocol/SettingsReader.cpp
+++ b/Apricothead/src/Protocol/SettingsReader.cpp
@@ -80,7 +80,7 @@
     }
 }
 
-template<class Duration>
+template <class Duration>
 void readDuration(const Json &object, const char *key, Duration &target)
 {
     if (object.contains(key)) {
@@ -88,7 +88,7 @@
     }
 }
 
-template<class Value>
+template <class Value>
 void readValue(const Json &object, const char *key, Value &target)
 {
     if (object.contains(key)) {
