Choose an endpoint by predicted time to first token

Cause: the entry needs a routing decision; a copy of all views for each request would grow with the pool. Ruled out: scoring every endpoint of a large pool (cost grows with it). Change: chooseEndpoint scores up to 24 endpoints, else a sample of 12 and the prefix candidates; RoutingTable indexes views by version and copies none.

--- /dev/null
+++ b/Apricothead/src/Coordination/Routing.cpp
@@ -0,0 +1,273 @@
+#include "Routing.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <limits>
+
+namespace Apricothead {
+
+namespace {
+
+/** Up to this many endpoints are all scored; among more a sample is drawn, so that the cost stays bounded. */
+constexpr std::size_t ScoreAllLimit = 24;
+constexpr std::size_t SampleSize = 12;
+constexpr std::size_t AlternativeCount = 3;
+
+/** Assumed cost of the parts of a first token; EndpointView::pace corrects it for each endpoint. */
+constexpr double BaseFirstTokenMs = 25;
+constexpr double PrefillMsPerToken = 0.2;
+constexpr double TypicalPromptMs = 150;
+constexpr double TypicalRunMs = 4000;
+/** What is left of a report's news after this time is 1/e. */
+constexpr double ReportRelaxationMs = 1500;
+constexpr double OtherZoneMs = 3;
+/** An endpoint that just came back is charged as if this much slower, falling to nothing as it warms up. */
+constexpr double ColdFactor = 3;
+constexpr double ErrorFactor = 10;
+
+double reportAge(const EndpointView &view, const RoutingRequest &request)
+{
+    if (request.nowMs <= 0 || view.observedMs <= 0) {
+        return view.reportAgeMs;
+    }
+    return view.reportAgeMs + std::max(0.0, request.nowMs - view.observedMs);
+}
+
+bool mayServe(const EndpointView &view)
+{
+    return view.healthy && !view.leaving && view.connected;
+}
+
+bool serves(const EndpointView &view, const RoutingRequest &request)
+{
+    return view.version == request.version && view.model == request.model;
+}
+
+/** Preference before any score: lower is better. */
+int tier(const EndpointView &view, const RoutingRequest &request)
+{
+    const bool tried = std::find(request.avoid.begin(), request.avoid.end(), view.endpoint) != request.avoid.end();
+    return (tried ? 2 : 0) + (view.ejected ? 1 : 0);
+}
+
+double prefixShare(const EndpointView &view, const RoutingRequest &request)
+{
+    double share = view.prefixShare;
+    for (const PrefixCandidate &candidate : request.prefixes) {
+        if (candidate.endpoint != view.endpoint) {
+            continue;
+        }
+        share = std::max(share, candidate.share);
+    }
+    return std::clamp(share, 0.0, 1.0);
+}
+
+struct Scored {
+    const EndpointView *view = nullptr;
+    int tier = std::numeric_limits<int>::max();
+    double ms = 0;
+    double share = 0;
+
+    bool isBetterThan(const Scored &other) const
+    {
+        return this->tier != other.tier ? this->tier < other.tier : this->ms < other.ms;
+    }
+};
+
+/** \brief The best few of the endpoints scored so far, best first. */
+class Ranking
+{
+public:
+    explicit Ranking(const RoutingRequest &asked) : request(asked)
+    { }
+
+    void consider(const EndpointView &view)
+    {
+        if (!mayServe(view) || this->holds(view)) {
+            return;
+        }
+        const double share = prefixShare(view, this->request);
+        const Scored scored{.view = &view, .tier = tier(view, this->request), .ms = predictFirstTokenMs(view, this->request, share), .share = share};
+        if (this->count == this->best.size() && !scored.isBetterThan(this->best.back())) {
+            return;
+        }
+        std::size_t place = std::min(this->count, this->best.size() - 1);
+        while (place > 0 && scored.isBetterThan(this->best[place - 1])) {
+            this->best[place] = this->best[place - 1];
+            --place;
+        }
+        this->best[place] = scored;
+        this->count = std::min(this->count + 1, this->best.size());
+    }
+
+    bool isEmpty() const
+    {
+        return this->count == 0;
+    }
+
+    /** \returns true when the best is neither ejected nor tried before */
+    bool hasFirstChoice() const
+    {
+        return this->count > 0 && this->best.front().tier == 0;
+    }
+
+    RoutingDecision decision() const
+    {
+        const Scored &first = this->best.front();
+        RoutingDecision decision;
+        decision.endpoint = first.view->endpoint;
+        decision.incarnation = first.view->incarnation;
+        decision.predictedMs = first.ms;
+        decision.reason = reasonOf(first);
+        for (std::size_t i = 1; i < this->count; ++i) {
+            char score[32];
+            std::snprintf(score, sizeof score, "=%.0f", this->best[i].ms);
+            decision.alternatives += (i > 1 ? "," : "") + this->best[i].view->endpoint + score;
+        }
+        return decision;
+    }
+
+private:
+    bool holds(const EndpointView &view) const
+    {
+        return std::any_of(this->best.begin(), this->best.begin() + static_cast<std::ptrdiff_t>(this->count), [&view](const Scored &scored) {
+            return scored.view == &view;
+        });
+    }
+
+    static std::string reasonOf(const Scored &scored)
+    {
+        if (scored.tier >= 2) {
+            return "only-tried-left";
+        }
+        if (scored.tier == 1) {
+            return "only-ejected-left";
+        }
+        return scored.share > 0 ? "prefix-and-wait" : "least-predicted-wait";
+    }
+
+    const RoutingRequest &request;
+    std::array<Scored, AlternativeCount + 1> best;
+    std::size_t count = 0;
+};
+
+std::size_t drawIndex(std::size_t count, const RandomSource &random)
+{
+    return std::min(count - 1, static_cast<std::size_t>(random() * static_cast<double>(count)));
+}
+
+/** Offers all, or a sample starting anew at random places, of \a count views to \a ranking. */
+template <typename ViewAt>
+void considerSome(Ranking &ranking, std::size_t count, const ViewAt &viewAt, const RandomSource &random)
+{
+    if (count == 0) {
+        return;
+    }
+    if (count > ScoreAllLimit) {
+        for (std::size_t i = 0; i < SampleSize; ++i) {
+            viewAt(drawIndex(count, random));
+        }
+    }
+    if (count > ScoreAllLimit && ranking.hasFirstChoice()) {
+        return;
+    }
+    // A random start breaks ties between equal endpoints.
+    const std::size_t start = drawIndex(count, random);
+    for (std::size_t i = 0; i < count; ++i) {
+        viewAt((start + i) % count);
+    }
+}
+
+RoutingDecision noEndpoint(bool anyServes, bool allLeaving)
+{
+    RoutingDecision decision;
+    if (!anyServes) {
+        decision.reason = "no-endpoint-serves-version";
+        return decision;
+    }
+    decision.reason = allLeaving ? "all-endpoints-leaving" : "no-healthy-endpoint";
+    return decision;
+}
+
+} // namespace
+
+double predictFirstTokenMs(const EndpointView &view, const RoutingRequest &request, double prefixShare)
+{
+    const double age = reportAge(view, request);
+    const double trust = std::exp(-age / ReportRelaxationMs);
+    const double others = std::max(1U, request.entries);
+    // A report's queue has partly drained since; what this entry sent afterwards is added for each entry that sees the same report.
+    const double queued = std::max<double>(view.ownAwaiting, trust * view.reportedQueued + (1 + (others - 1) * (1 - trust)) * view.ownSinceReport);
+    const double running = std::max<double>(view.ownRunning, view.reportedRunning + view.ownSinceReport);
+    const double runMs = view.runMs > 0 ? view.runMs : TypicalRunMs;
+    const double overflow = std::max(0.0, running + trust * view.reportedQueued + 1 - std::max(1U, view.capacity));
+    const double slotWait = overflow * runMs / std::max(1U, view.capacity);
+    const double prefill = request.promptTokens * (1 - prefixShare) * PrefillMsPerToken;
+    const double occupancy = running / std::max(1U, view.capacity);
+    double predicted = BaseFirstTokenMs * (1 + occupancy) + prefill + queued * TypicalPromptMs + slotWait;
+    predicted *= std::max(0.1, view.pace);
+    // A first token that is overdue now says more than any average.
+    if (view.oldestAwaitingSinceMs > 0 && request.nowMs > 0) {
+        predicted = std::max(predicted, request.nowMs - view.oldestAwaitingSinceMs);
+    }
+    predicted *= 1 + ColdFactor * (1 - std::clamp(view.warmth, 0.0, 1.0)) + ErrorFactor * std::clamp(view.errorShare, 0.0, 1.0);
+    const bool otherZone = !request.availabilityZone.empty() && view.availabilityZone != request.availabilityZone;
+    return predicted + (otherZone ? OtherZoneMs : 0);
+}
+
+RoutingDecision chooseEndpoint(const std::vector<EndpointView> &endpoints, const RoutingRequest &request, const RandomSource &random)
+{
+    Ranking ranking(request);
+    for (const EndpointView &view : endpoints) {
+        if (view.prefixShare > 0 && serves(view, request)) {
+            ranking.consider(view);
+        }
+    }
+    const auto viewAt = [&](std::size_t index) {
+        if (serves(endpoints[index], request)) {
+            ranking.consider(endpoints[index]);
+        }
+    };
+    considerSome(ranking, endpoints.size(), viewAt, random);
+    if (!ranking.isEmpty()) {
+        return ranking.decision();
+    }
+    bool anyServes = false;
+    bool allLeaving = true;
+    for (const EndpointView &view : endpoints) {
+        if (!serves(view, request)) {
+            continue;
+        }
+        anyServes = true;
+        allLeaving = allLeaving && view.leaving;
+    }
+    return noEndpoint(anyServes, allLeaving);
+}
+
+RoutingDecision chooseEndpoint(const std::vector<EndpointView> &slots,
+                               const std::vector<std::uint32_t> &members,
+                               const std::vector<std::uint32_t> &preferred,
+                               const RoutingRequest &request,
+                               const RandomSource &random)
+{
+    Ranking ranking(request);
+    const auto viewAt = [&](std::size_t index) {
+        ranking.consider(slots[members[index]]);
+    };
+    considerSome(ranking, members.size(), viewAt, random);
+    for (const std::uint32_t slot : preferred) {
+        ranking.consider(slots[slot]);
+    }
+    if (!ranking.isEmpty()) {
+        return ranking.decision();
+    }
+    bool allLeaving = true;
+    for (const std::uint32_t slot : members) {
+        allLeaving = allLeaving && slots[slot].leaving;
+    }
+    return noEndpoint(!members.empty(), allLeaving);
+}
+
+} // namespace Apricothead
--- a/Apricothead/src/Coordination/Routing.h
+++ b/Apricothead/src/Coordination/Routing.h
@@ -36,10 +36,33 @@
     /** 0 right after the endpoint appeared or came back, rising to 1. */
     double warmth = 1;
     bool ejected = false;
+    /** Reading of RoutingRequest::nowMs for which reportAgeMs holds; 0 when the view was made for this decision. */
+    double observedMs = 0;
+    /** Runs of this entry that wait for their first token there. Needs no report, so it is never late. */
+    unsigned ownAwaiting = 0;
+    /** Reading of RoutingRequest::nowMs at which the longest waiting of them started; 0 when none waits. */
+    double oldestAwaitingSinceMs = 0;
+    /** Measured over predicted time to first token, a moving average: 1 for an endpoint as quick as assumed. */
+    double pace = 1;
+    /** Moving average of the time a run holds its slot in the batch; 0 when none was measured. */
+    double runMs = 0;
 
     bool operator==(const EndpointView &) const = default;
 };
 
+/** \class PrefixCandidate
+ * \ingroup Coordination_Module
+ * \brief An endpoint thought to hold a part of a request's prefix in its cache.
+ * \sa PrefixIndex
+ */
+struct PrefixCandidate {
+    std::string endpoint;
+    /** Share of the prompt, 0 to 1, already discounted by the age of the hint. */
+    double share = 0;
+
+    bool operator==(const PrefixCandidate &) const = default;
+};
+
 /** \class RoutingRequest
  * \ingroup Coordination_Module
  * \brief What routing needs to know of a request.
@@ -51,6 +74,12 @@
     double promptTokens = 0;
     /** Endpoints that an earlier attempt has tried. */
     std::vector<std::string> avoid;
+    /** Hints beside EndpointView::prefixShare, for views that serve many requests. */
+    std::vector<PrefixCandidate> prefixes;
+    /** The clock of EndpointView::observedMs; 0 when the views were made for this decision. */
+    double nowMs = 0;
+    /** Entries that share the endpoints, this one included. */
+    unsigned entries = 1;
 
     bool operator==(const RoutingRequest &) const = default;
 };
@@ -75,7 +104,17 @@
 /** Source of uniformly distributed numbers in [0, 1). */
 using RandomSource = std::function<double()>;
 
+/** \returns the predicted time to first token of \a request at \a view in ms, without regard to what forbids the endpoint */
+double predictFirstTokenMs(const EndpointView &view, const RoutingRequest &request, double prefixShare);
+
 /** Chooses an endpoint for \a request among \a endpoints. \returns the decision; never an endpoint that is leaving, unhealthy or of another version */
 RoutingDecision chooseEndpoint(const std::vector<EndpointView> &endpoints, const RoutingRequest &request, const RandomSource &random);
 
+/** As above, among the endpoints of \a slots that \a members name, all of which serve the request's version. \sa RoutingTable */
+RoutingDecision chooseEndpoint(const std::vector<EndpointView> &slots,
+                               const std::vector<std::uint32_t> &members,
+                               const std::vector<std::uint32_t> &preferred,
+                               const RoutingRequest &request,
+                               const RandomSource &random);
+
 } // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/RoutingTable.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Routing.h"
+
+#include <string_view>
+#include <unordered_map>
+
+namespace Apricothead {
+
+/** \class ServedModel
+ * \ingroup Coordination_Module
+ * \brief A model and version that an endpoint has loaded.
+ */
+struct ServedModel {
+    std::string model;
+    std::string version;
+
+    bool operator==(const ServedModel &) const = default;
+};
+
+/** \class RoutingTable
+ * \ingroup Coordination_Module
+ * \brief The endpoints an entry knows, indexed by version, so that a decision copies none of them.
+ *
+ * The owner keeps the views up to date with change(); one decision costs the same with 20 or 2,000 endpoints.
+ * \sa EndpointTracker
+ */
+class RoutingTable
+{
+public:
+    /** Adds the endpoint, or replaces what it serves. Its view keeps its measurements when it was known. */
+    void announce(const std::string &endpoint, const std::string &availabilityZone, std::uint64_t incarnation, const std::vector<ServedModel> &served);
+
+    void remove(const std::string &endpoint);
+
+    /** \returns the view to change in place, null when the endpoint is unknown; valid until the next announce() or remove() */
+    EndpointView *change(const std::string &endpoint);
+    const EndpointView *find(const std::string &endpoint) const;
+
+    /** \returns the decision for \a request among the endpoints that serve its version */
+    RoutingDecision choose(const RoutingRequest &request, const RandomSource &random) const;
+
+    /** \returns how many endpoints serve the version and may take work now */
+    std::size_t usableCount(const std::string &model, const std::string &version) const;
+
+    /** \returns all views, for walks over the table; removed ones have an empty id */
+    const std::vector<EndpointView> &views() const;
+
+private:
+    void unlist(std::uint32_t slot);
+
+    std::vector<EndpointView> slots;
+    std::vector<std::vector<ServedModel>> servedBySlot;
+    std::vector<std::uint32_t> freeSlots;
+    std::unordered_map<std::string, std::uint32_t> slotByEndpoint;
+    std::unordered_map<std::string, std::vector<std::uint32_t>> slotsByVersion;
+};
+
+} // namespace Apricothead
