Transport: event loop, timers, ZeroMQ links, HTTP server and client

Change: libev loop; Dealer and Router with a heartbeat of their own, a new socket for each connection, and the socket monitor to notice a closed peer at once; libmicrohttpd with suspended connections whose sockets are watched for the caller's leaving; libcurl with a fresh connection for each call, since libcurl resends by itself on a kept one. Ruled out: kept connections to engines (a resend would run a request twice).

--- /dev/null
+++ b/Apricothead/src/Transport/HttpTransfer.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "HttpClient.h"
+#include "Timer.h"
+
+#include <curl/curl.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Apricothead::detail {
+
+/** \class HttpTransferOwner
+ * \ingroup Transport_Module
+ * \brief What a transfer asks of the client that drives it.
+ */
+class HttpTransferOwner
+{
+public:
+    virtual ~HttpTransferOwner() = default;
+    /** Removes the transfer as soon as libcurl allows it. */
+    virtual void transferCancelled(CURL *easy) = 0;
+    /** Ends the transfer, which has been silent for too long. Never called from inside libcurl. */
+    virtual void transferSilent(CURL *easy) = 0;
+};
+
+/** \class HttpTransfer
+ * \ingroup Transport_Module
+ * \brief One libcurl easy handle.
+ *
+ * Each transfer has a connection of its own: libcurl sends a request again by itself when a kept connection turns out closed, and
+ * a request must not run twice.
+ */
+class HttpTransfer
+{
+public:
+    HttpTransfer(EventLoop &loop, HttpTransferOwner &owner, std::weak_ptr<bool> ownerAlive, HttpCallOptions options);
+    ~HttpTransfer();
+    HttpTransfer(const HttpTransfer &) = delete;
+    HttpTransfer &operator=(const HttpTransfer &) = delete;
+
+    CURL *native() const;
+    void cancel();
+    void pause();
+    void resume();
+    /** Tells the caller how the transfer ended; it has been removed from its client. */
+    void ended(CURLcode code);
+
+private:
+    static std::size_t onHeaderLine(char *bytes, std::size_t size, std::size_t count, void *self);
+    static std::size_t onBody(char *bytes, std::size_t size, std::size_t count, void *self);
+    void configure();
+    void configureMethod();
+    void takeHeaderLine(std::string_view line);
+    void endHead();
+    void armSilence();
+    void checkSilence();
+    void applyResume();
+
+    EventLoop &loop;
+    HttpTransferOwner &owner;
+    std::weak_ptr<bool> ownerAlive;
+    HttpCallOptions options;
+    CURL *easy;
+    curl_slist *headerLines = nullptr;
+    HttpHeaders received;
+    Timer silenceTimer;
+    Timer resumeTimer;
+    std::uint64_t lastByteAt = 0;
+    unsigned status = 0;
+    bool isHeadDone = false;
+    bool isPaused = false;
+    bool isCancelled = false;
+    bool isSilent = false;
+};
+
+/** \class HttpTransferCall
+ * \ingroup Transport_Module
+ * \brief The caller's hold on a transfer; dropping it cancels the transfer.
+ */
+class HttpTransferCall : public HttpCall
+{
+public:
+    explicit HttpTransferCall(std::shared_ptr<HttpTransfer> transfer);
+    ~HttpTransferCall() override;
+    HttpTransferCall(const HttpTransferCall &) = delete;
+    HttpTransferCall &operator=(const HttpTransferCall &) = delete;
+
+    void pause() override;
+    void resume() override;
+
+private:
+    std::shared_ptr<HttpTransfer> transfer;
+};
+
+} // namespace Apricothead::detail
