--- a/Apricothead/src/Transport/Dealer.cpp
+++ b/Apricothead/src/Transport/Dealer.cpp
@@ -103,7 +103,7 @@
         if (stillAlive.expired()) {
             return false;
         }
-        if (message.size() > 0 && this->options.onMessage) {
+        if (!message.empty() && this->options.onMessage) {
             this->options.onMessage(message.to_string_view());
         }
         return !stillAlive.expired();
--- a/Apricothead/src/Transport/HttpTransfer.cpp
+++ b/Apricothead/src/Transport/HttpTransfer.cpp
@@ -59,7 +59,8 @@
 {
     for (const auto &[name, value] : this->options.headers) {
         // A field without a value needs a semicolon, or libcurl would leave it out.
-        const std::string line = value.empty() ? name + ";" : name + ": " + value;
+        std::string line = name;
+        line.append(value.empty() ? ";" : ": ").append(value);
         this->headerLines = curl_slist_append(this->headerLines, line.c_str());
     }
     this->headerLines = curl_slist_append(this->headerLines, "Expect:");
--- a/Apricothead/src/Transport/Router.cpp
+++ b/Apricothead/src/Transport/Router.cpp
@@ -61,7 +61,7 @@
             // Left unanswered, so that the peer makes a new connection.
             return true;
         }
-        if (message.size() == 0) {
+        if (message.empty()) {
             this->send(id, std::string());
             return true;
         }
--- a/test/transport.cpp
+++ b/test/transport.cpp
@@ -270,7 +270,7 @@
 
 BOOST_FIXTURE_TEST_CASE(answersWhole, Fixture)
 {
-    auto server = this->serve([](HttpRequest request, std::shared_ptr<HttpReply> reply) {
+    auto server = this->serve([](HttpRequest request, const std::shared_ptr<HttpReply> &reply) {
         reply->send(200, {{"x-path", request.path}, {"x-query", request.query}, {"x-seen", request.headers["x-one"]}}, request.method + " " + request.body);
     });
     Answer answer;
