--- /dev/null
+++ b/Apricothead/src/Coordination/EngineCalls.cpp
@@ -0,0 +1,61 @@
+#include "EngineCalls.h"
+
+#include <utility>
+
+namespace Apricothead::detail {
+
+void callEngine(HttpClient &client, const EndpointSettings &settings, ShortCall call, std::function<void(const HttpResult &, const std::string &)> done)
+{
+    struct Pending {
+        std::unique_ptr<HttpCall> call;
+        std::string body;
+    };
+    auto pending = std::make_shared<Pending>();
+    HttpCallOptions options;
+    options.method = std::move(call.method);
+    options.url = settings.engineUrl + call.path;
+    options.body = std::move(call.body);
+    if (!options.body.empty()) {
+        options.headers["content-type"] = "application/json";
+    }
+    options.connectTimeout = settings.engineConnect;
+    options.total = ReportTimeout;
+    options.onData = [pending](std::string_view bytes) {
+        if (pending->body.size() + bytes.size() <= MaxReportBytes) {
+            pending->body.append(bytes);
+        }
+    };
+    options.onDone = [pending, done = std::move(done)](const HttpResult &result) {
+        // The call holds this hook, so it must not hold the call any longer.
+        const std::unique_ptr<HttpCall> ended = std::move(pending->call);
+        done(result, pending->body);
+    };
+    pending->call = client.start(std::move(options));
+}
+
+HttpCallOptions runCallOptions(const EndpointSettings &settings, const Wire::Payload &payload)
+{
+    HttpCallOptions options;
+    options.method = payload.method().empty() ? "POST" : payload.method();
+    options.url = settings.engineUrl + payload.path();
+    if (!payload.content_type().empty()) {
+        options.headers["content-type"] = payload.content_type();
+    }
+    options.body = payload.body();
+    options.connectTimeout = settings.engineConnect;
+    options.silence = settings.engineSilence;
+    return options;
+}
+
+EngineResult brokenResult(const HttpResult &http)
+{
+    EngineResult result;
+    result.neverSent = http.neverSent;
+    result.outcome = Wire::OUTCOME_CUT;
+    result.verdict = http.neverSent ? Wire::VERDICT_NOT_RUN : Wire::VERDICT_MAY_HAVE_RUN;
+    result.status = http.status;
+    result.error = http.error.empty() ? "the engine's answer broke off" : http.error;
+    return result;
+}
+
+} // namespace Apricothead::detail
--- /dev/null
+++ b/Apricothead/src/Coordination/OrderQueue.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "EngineAdapter.h"
+#include "FenceGuard.h"
+#include "ProposalQueue.h"
+
+#include <deque>
+#include <functional>
+#include <string>
+
+namespace Apricothead {
+
+/** \class OrderQueueOptions
+ * \ingroup Coordination_Module
+ * \brief For whom an OrderQueue takes fencing numbers.
+ */
+struct OrderQueueOptions {
+    std::string endpoint;
+    std::uint64_t incarnation = 0;
+};
+
+/** \class OrderQueue
+ * \ingroup Coordination_Module
+ * \brief Passes orders to the engine one at a time, and none whose fencing number is outdated.
+ * \sa FenceGuard
+ */
+class OrderQueue
+{
+public:
+    /** \a adapter and \a proposals must outlive the queue. */
+    OrderQueue(const EngineAdapter &adapter, ProposalQueue &proposals, OrderQueueOptions options);
+    OrderQueue(const OrderQueue &) = delete;
+    OrderQueue &operator=(const OrderQueue &) = delete;
+
+    void add(const Wire::Order &order, std::function<void(const Wire::OrderReply &)> done);
+
+private:
+    struct Waiting {
+        Wire::Order order;
+        std::function<void(const Wire::OrderReply &)> done;
+    };
+
+    void learnNewest();
+    void passOnNext();
+    void reply(const Waiting &waiting, Wire::ErrorCode code, const std::string &message) const;
+
+    const EngineAdapter &adapter;
+    ProposalQueue &proposals;
+    OrderQueueOptions options;
+    FenceGuard guard;
+    std::deque<Waiting> waitingOrders;
+    bool isLearning = false;
+    bool isBusy = false;
+};
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/ProposalQueue.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "ReplicaClient.h"
+
+#include "../Transport/Timer.h"
+
+#include <chrono>
+#include <deque>
+#include <functional>
+
+namespace Apricothead {
+
+/** \class ProposalQueue
+ * \ingroup Coordination_Module
+ * \brief Proposes commands again and again until each is applied. For commands that are safe to repeat and must not be lost.
+ */
+class ProposalQueue
+{
+public:
+    /** \a deadline bounds one try. */
+    ProposalQueue(EventLoop &loop, ReplicaClient &client, std::chrono::milliseconds deadline);
+    ProposalQueue(const ProposalQueue &) = delete;
+    ProposalQueue &operator=(const ProposalQueue &) = delete;
+
+    /** \a applied gets the state machine's answer, once. */
+    void add(Wire::Command command, std::function<void(const Wire::CommandResult &)> applied);
+
+    /** \returns how many commands have not been applied yet */
+    std::size_t size() const;
+
+private:
+    struct Waiting {
+        Wire::Command command;
+        std::function<void(const Wire::CommandResult &)> applied;
+    };
+
+    void propose(Waiting waiting);
+    void retry();
+
+    ReplicaClient &client;
+    std::chrono::milliseconds deadline;
+    std::deque<Waiting> failed;
+    Timer retryTimer;
+    std::size_t open = 0;
+};
+
+} // namespace Apricothead
--- a/Apricothead/src/Coordination/RunBuffer.cpp
+++ b/Apricothead/src/Coordination/RunBuffer.cpp
@@ -274,6 +274,27 @@
     return found != this->answers.end() && !found->second.readers.empty();
 }
 
+std::vector<RunId> RunBuffer::attached() const
+{
+    std::vector<RunId> runs;
+    for (const auto &[id, answer] : this->answers) {
+        const bool isOpen = std::any_of(answer.readers.begin(), answer.readers.end(), [](const auto &each) {
+            return !each.second.doneSent;
+        });
+        if (!isOpen) {
+            continue;
+        }
+        runs.push_back(id);
+    }
+    return runs;
+}
+
+std::optional<Wire::RunDone> RunBuffer::done(const RunId &id) const
+{
+    const auto found = this->answers.find(id);
+    return found == this->answers.end() ? std::nullopt : found->second.done;
+}
+
 bool RunBuffer::isKept(const RunId &id) const
 {
     const auto found = this->answers.find(id);
--- a/Apricothead/src/Coordination/RunBuffer.h
+++ b/Apricothead/src/Coordination/RunBuffer.h
@@ -65,6 +65,10 @@
 
     std::vector<std::string> readers(const RunId &id) const;
     bool hasReaders(const RunId &id) const;
+    /** \returns the runs that some entry is attached to and has not all of */
+    std::vector<RunId> attached() const;
+    /** \returns how the run ended, nothing while it goes on or when it is unknown */
+    std::optional<Wire::RunDone> done(const RunId &id) const;
     bool isKept(const RunId &id) const;
     /** \returns true when some entry has all of every ended answer, and every bill is committed */
     bool isDelivered() const;
