State machine: configuration, sessions, request records and ledger as a function of the log

Cause: every part that admits, settles or changes needs the agreed state machine; only its header stood. Change: one class a file (ConfigurationState, SessionTable, RequestTable, Ledger, AnsweredCommands, IncarnationTable, AdmissionRules, ...); additive fields RequestRecord.entry, CommandResult.standing, AnsweredCommand.fingerprint; StateMachine::incarnations().

--- /dev/null
+++ b/Apricothead/src/State/AdmissionRules.cpp
@@ -0,0 +1,102 @@
+#include "AdmissionRules.h"
+
+#include "ConfigurationLookup.h"
+
+namespace Apricothead {
+namespace detail {
+
+Check checkAllowance(const Wire::Configuration &configuration, const Wire::Admit &admit)
+{
+    const Wire::Organisation *organisation = findOrganisation(configuration, admit.key().organisation());
+    if (organisation == nullptr) {
+        return makeError(Wire::ERROR_CODE_NOT_ALLOWED, "key.organisation", "is no known organisation", "ask the operator");
+    }
+    if (findModel(configuration, admit.model()) == nullptr) {
+        return makeError(Wire::ERROR_CODE_NOT_FOUND, "model", "is no known model", "name a model that is listed");
+    }
+    if (!isAllowed(*organisation, admit.model(), admit.version())) {
+        return makeError(Wire::ERROR_CODE_NOT_ALLOWED, "version", "is not allowed to the organisation", "ask the operator for an allowance");
+    }
+    return outcome::success();
+}
+
+Check checkSession(const AdmissionContext &context, const Wire::Admit &admit)
+{
+    if (admit.session().empty()) {
+        return outcome::success();
+    }
+    const Wire::SessionBinding *binding = context.sessions.find(admit.key().organisation(), admit.session(), admit.model());
+    if (binding == nullptr) {
+        return outcome::success();
+    }
+    const Wire::Version *bound = findVersion(context.configuration, binding->version());
+    if (bound == nullptr || bound->state() == Wire::VERSION_STATE_WITHDRAWN) {
+        return makeError(
+            Wire::ERROR_CODE_SESSION_VERSION_WITHDRAWN, "session", "keeps version " + binding->version() + ", which was withdrawn", "start a new session");
+    }
+    if (binding->version() != admit.version()) {
+        return makeError(Wire::ERROR_CODE_SESSION_BOUND, "session", "is bound to version " + binding->version(), "admit it on that version");
+    }
+    return outcome::success();
+}
+
+Check checkVersionActive(const Wire::Configuration &configuration, const Wire::Admit &admit)
+{
+    const Wire::Version *version = findVersion(configuration, admit.version());
+    if (version == nullptr || version->model() != admit.model()) {
+        return makeError(Wire::ERROR_CODE_NOT_FOUND, "version", "is no known version of the model", "name a version that is listed");
+    }
+    if (version->state() != Wire::VERSION_STATE_ACTIVE) {
+        return makeError(Wire::ERROR_CODE_WITHDRAWN, "version", "was withdrawn", "use an active version");
+    }
+    return outcome::success();
+}
+
+Check checkEndpoint(const AdmissionContext &context, const Wire::Admit &admit)
+{
+    if (admit.endpoint().empty()) {
+        return makeError(Wire::ERROR_CODE_INVALID, "endpoint", "is missing", "name an endpoint");
+    }
+    if (isDrained(context.configuration, admit.endpoint())) {
+        return makeError(Wire::ERROR_CODE_DRAINED, "endpoint", "is drained", "choose another endpoint");
+    }
+    if (context.incarnations.isGone(admit.endpoint(), admit.incarnation())) {
+        return makeError(Wire::ERROR_CODE_STALE_INCARNATION, "incarnation", "is over or lost", "choose another endpoint or its newer incarnation");
+    }
+    return outcome::success();
+}
+
+bool isSameProposal(const Wire::RequestRecord &record, const Wire::Admit &admit)
+{
+    return record.state() == Wire::RECORD_STATE_ADMITTED && record.attempt() == admit.attempt() && record.entry() == admit.entry()
+        && record.endpoint() == admit.endpoint() && record.incarnation() == admit.incarnation() && record.version() == admit.version();
+}
+
+} // namespace detail
+
+Check checkAdmissible(const AdmissionContext &context, const Wire::Admit &admit)
+{
+    BOOST_OUTCOME_TRYV(detail::checkAllowance(context.configuration, admit));
+    BOOST_OUTCOME_TRYV(detail::checkSession(context, admit));
+    BOOST_OUTCOME_TRYV(detail::checkVersionActive(context.configuration, admit));
+    return detail::checkEndpoint(context, admit);
+}
+
+AttemptRule attemptRule(const Wire::RequestRecord &record, const Wire::Admit &admit)
+{
+    if (record.fingerprint() != admit.fingerprint()) {
+        return AttemptRule::KeyReused;
+    }
+    if (detail::isSameProposal(record, admit)) {
+        return AttemptRule::Repeat;
+    }
+    if (record.state() == Wire::RECORD_STATE_SETTLED || admit.attempt() != record.attempt() + 1) {
+        return AttemptRule::Known;
+    }
+    if (record.state() == Wire::RECORD_STATE_ABANDONED || record.repeatable()) {
+        return AttemptRule::Replace;
+    }
+    return AttemptRule::ProofMissing;
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/State/AnsweredCommands.cpp
@@ -0,0 +1,66 @@
+#include "AnsweredCommands.h"
+
+#include "KeyCode.h"
+#include "StateErrors.h"
+
+#include <xxhash.h>
+
+namespace Apricothead {
+
+std::uint64_t commandFingerprint(const Wire::Command &command)
+{
+    const std::string bytes = joinedParts({std::to_string(command.expected_revision()), command.change().SerializeAsString()});
+    return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+std::optional<Wire::CommandResult> AnsweredCommands::answerTo(const Wire::Command &command) const
+{
+    const auto found = this->answers.find(command.command_id());
+    if (found == this->answers.end()) {
+        return std::nullopt;
+    }
+    if (found->second.fingerprint() != commandFingerprint(command)) {
+        return refusal(makeError(Wire::ERROR_CODE_KEY_REUSED, "command_id", "was used for another change", "repeat the change with a new command_id"));
+    }
+    return found->second.result();
+}
+
+void AnsweredCommands::remember(const Wire::Command &command, const Wire::CommandResult &result, std::int64_t timeMs)
+{
+    Wire::AnsweredCommand &answer = this->answers[command.command_id()];
+    answer.set_command_id(command.command_id());
+    *answer.mutable_result() = result;
+    answer.set_time_ms(timeMs);
+    answer.set_fingerprint(commandFingerprint(command));
+    this->expiries.add(timeMs, command.command_id());
+}
+
+void AnsweredCommands::expire(std::int64_t beforeMs)
+{
+    for (int i = 0; i < ExpiriesPerCommand; ++i) {
+        const auto id = this->expiries.takeOlderThan(beforeMs);
+        if (!id) {
+            return;
+        }
+        this->answers.erase(*id);
+    }
+}
+
+void AnsweredCommands::save(Wire::StateSnapshot &snapshot) const
+{
+    for (const auto &[id, answer] : this->answers) {
+        *snapshot.add_answered() = answer;
+    }
+}
+
+void AnsweredCommands::restore(const Wire::StateSnapshot &snapshot)
+{
+    this->answers.clear();
+    this->expiries.clear();
+    for (const Wire::AnsweredCommand &answer : snapshot.answered()) {
+        this->answers[answer.command_id()] = answer;
+        this->expiries.add(answer.time_ms(), answer.command_id());
+    }
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/State/ConfigurationChecks.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "StateErrors.h"
+
+namespace Apricothead {
+
+/** Checks that \a change fits \a configuration as it stands. The field path of an error starts with the name of the change. */
+Check checkChange(const Wire::Configuration &configuration, const Wire::ConfigurationChange &change);
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/State/ConfigurationLookup.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "../Protocol/Messages.h"
+
+#include <string_view>
+
+namespace Apricothead {
+
+/** \returns the item with that id, or nullptr */
+const Wire::Organisation *findOrganisation(const Wire::Configuration &configuration, std::string_view id);
+const Wire::Model *findModel(const Wire::Configuration &configuration, std::string_view id);
+const Wire::Version *findVersion(const Wire::Configuration &configuration, std::string_view id);
+const Wire::Cascade *findCascade(const Wire::Configuration &configuration, std::string_view id);
+/** \returns the newest roll-out of \a model, or nullptr */
+const Wire::Rollout *findRollout(const Wire::Configuration &configuration, std::string_view model);
+
+/** \returns true when \a organisation may use \a version of \a model */
+bool isAllowed(const Wire::Organisation &organisation, std::string_view model, std::string_view version);
+
+/** \returns true when an operator has told \a endpoint to leave */
+bool isDrained(const Wire::Configuration &configuration, std::string_view endpoint);
+
+/** \returns true while a roll-out may still change which version new sessions get */
+bool isOpen(const Wire::Rollout &rollout);
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/State/ConfigurationState.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "StateErrors.h"
+
+#include <cstdint>
+
+namespace Apricothead {
+
+/** \class ConfigurationState
+ * \ingroup State_Module
+ * \brief The configuration in force, changed one revision at a time.
+ */
+class ConfigurationState
+{
+public:
+    /** Applies \a change when it is based on the current revision and passes its checks. \returns the new revision or an error */
+    Wire::CommandResult apply(const Wire::ConfigurationChange &change, std::uint64_t expectedRevision, std::int64_t timeMs);
+
+    const Wire::Configuration &value() const;
+    void restore(Wire::Configuration configuration);
+
+private:
+    Wire::CommandResult conflict(std::uint64_t expectedRevision) const;
+
+    Wire::Configuration configuration;
+};
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/State/FieldChecks.cpp
@@ -0,0 +1,67 @@
+#include "FieldChecks.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Apricothead {
+namespace detail {
+
+bool isIdCharacter(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' || c == '-' || c == '_';
+}
+
+bool isControlCharacter(char c)
+{
+    return static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
+}
+
+} // namespace detail
+
+Check checkId(const std::string &field, std::string_view id)
+{
+    if (id.empty()) {
+        return makeError(Wire::ERROR_CODE_INVALID, field, "is missing", "give an id");
+    }
+    if (id.size() > MaxIdBytes) {
+        return makeError(Wire::ERROR_CODE_INVALID, field, "is longer than " + std::to_string(MaxIdBytes) + " bytes", "shorten the id");
+    }
+    if (!std::all_of(id.begin(), id.end(), detail::isIdCharacter)) {
+        return makeError(Wire::ERROR_CODE_INVALID, field, "has other characters than letters, digits, '.', '-' and '_'", "change the id");
+    }
+    return outcome::success();
+}
+
+Check checkText(const std::string &field, std::string_view text)
+{
+    if (text.size() > MaxTextBytes) {
+        return makeError(Wire::ERROR_CODE_INVALID, field, "is longer than " + std::to_string(MaxTextBytes) + " bytes", "shorten the text");
+    }
+    if (std::any_of(text.begin(), text.end(), detail::isControlCharacter)) {
+        return makeError(Wire::ERROR_CODE_INVALID, field, "has control characters", "give one line of plain text");
+    }
+    return outcome::success();
+}
+
+Check checkNumber(const std::string &field, double number, double highest)
+{
+    if (!std::isfinite(number) || number < 0 || number > highest) {
+        return makeError(Wire::ERROR_CODE_INVALID, field, "is not between 0 and " + std::to_string(highest), "give a number in that range");
+    }
+    return outcome::success();
+}
+
+Check checkCount(const std::string &field, int count, int most)
+{
+    if (count > most) {
+        return makeError(Wire::ERROR_CODE_INVALID, field, "has more than " + std::to_string(most) + " entries", "remove entries");
+    }
+    return outcome::success();
+}
+
+std::string itemPath(std::string_view list, int position)
+{
+    return std::string(list) + "[" + std::to_string(position) + "]";
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/State/StateMachine.cpp
@@ -0,0 +1,416 @@
+#include "StateMachine.h"
+
+#include "AdmissionRules.h"
+#include "AnsweredCommands.h"
+#include "ConfigurationLookup.h"
+#include "ConfigurationState.h"
+#include "IncarnationTable.h"
+#include "Ledger.h"
+#include "RequestTable.h"
+#include "SessionTable.h"
+#include "StateErrors.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricothead {
+namespace detail {
+
+/** Longest command id, in bytes. */
+constexpr std::size_t MaxCommandIdBytes = 128;
+/** Longest key of a request, in bytes. */
+constexpr std::size_t MaxKeyBytes = 512;
+
+Wire::CommandResult done()
+{
+    Wire::CommandResult result;
+    result.set_done(true);
+    return result;
+}
+
+Wire::RequestRecord admittedRecord(const Wire::Admit &admit, std::uint64_t index, std::int64_t timeMs)
+{
+    Wire::RequestRecord record;
+    *record.mutable_key() = admit.key();
+    record.set_attempt(admit.attempt());
+    record.set_state(Wire::RECORD_STATE_ADMITTED);
+    record.set_model(admit.model());
+    record.set_version(admit.version());
+    record.set_endpoint(admit.endpoint());
+    record.set_incarnation(admit.incarnation());
+    record.set_session(admit.session());
+    record.set_repeatable(admit.repeatable());
+    record.set_fingerprint(admit.fingerprint());
+    record.set_changed_at_ms(timeMs);
+    record.set_admitted_index(index);
+    record.set_gate_time_ms(admit.gate_time_ms());
+    record.set_entry(admit.entry());
+    return record;
+}
+
+/** The record of a retired key: only its state is known. */
+Wire::RequestRecord retiredRecord(const Wire::RequestKey &key)
+{
+    Wire::RequestRecord record;
+    *record.mutable_key() = key;
+    record.set_state(Wire::RECORD_STATE_RETIRED);
+    return record;
+}
+
+Wire::CommandResult refusalBeside(Wire::Error error, const Wire::RequestRecord &standing)
+{
+    Wire::CommandResult result = refusal(std::move(error));
+    *result.mutable_standing() = standing;
+    return result;
+}
+
+bool isCurrentAttempt(const Wire::RequestRecord &record, std::uint32_t attempt)
+{
+    return record.state() == Wire::RECORD_STATE_ADMITTED && record.attempt() == attempt;
+}
+
+} // namespace detail
+
+struct StateMachine::Private {
+    StateMachineOptions options;
+    ConfigurationState configuration;
+    SessionTable sessions;
+    RequestTable requests;
+    Ledger ledger;
+    AnsweredCommands answered;
+    IncarnationTable incarnations;
+    std::int64_t timeMs = 0;
+    std::uint64_t appliedIndex = 0;
+
+    Wire::CommandResult dispatch(const Wire::Command &command);
+    Wire::CommandResult admit(const Wire::Admit &admit);
+    Wire::CommandResult admitAgain(const Wire::RequestRecord &record, const Wire::Admit &admit);
+    Wire::CommandResult admitChecked(const Wire::Admit &admit, bool repeatable);
+    Wire::CommandResult settle(const Wire::Settle &settle);
+    Wire::CommandResult abandon(const Wire::Abandon &abandon);
+    Wire::CommandResult noteIncarnation(const Wire::EndpointIncarnation &incarnation);
+    Wire::CommandResult takeFence(const Wire::TakeFence &fence);
+    Wire::CommandResult reportUsage(const Wire::ReportUsage &report);
+    Wire::CommandResult change(const Wire::Command &command);
+    Wire::CommandResult noRecord(const Wire::RequestKey &key) const;
+    Check checkAdmit(const Wire::Admit &admit) const;
+    void expire();
+};
+
+Wire::CommandResult StateMachine::Private::dispatch(const Wire::Command &command)
+{
+    switch (command.body_case()) {
+    case Wire::Command::kAdmit:
+        return this->admit(command.admit());
+    case Wire::Command::kSettle:
+        return this->settle(command.settle());
+    case Wire::Command::kAbandon:
+        return this->abandon(command.abandon());
+    case Wire::Command::kEndpointIncarnation:
+        return this->noteIncarnation(command.endpoint_incarnation());
+    case Wire::Command::kTakeFence:
+        return this->takeFence(command.take_fence());
+    case Wire::Command::kReportUsage:
+        return this->reportUsage(command.report_usage());
+    case Wire::Command::kChange:
+        return this->change(command);
+    case Wire::Command::BODY_NOT_SET:
+        break;
+    }
+    return refusal(makeError(Wire::ERROR_CODE_INVALID, "body", "is missing or of a kind this version does not know", "upgrade this process"));
+}
+
+Wire::CommandResult StateMachine::Private::admit(const Wire::Admit &admit)
+{
+    if (admit.key().key().empty() || admit.key().key().size() > detail::MaxKeyBytes) {
+        return refusal(makeError(Wire::ERROR_CODE_INVALID, "key.key", "is empty or too long", "give a key of at most 512 bytes"));
+    }
+    if (const Wire::RequestRecord *record = this->requests.find(admit.key())) {
+        return this->admitAgain(*record, admit);
+    }
+    if (this->requests.isRetired(admit.key())) {
+        return refusal(makeError(Wire::ERROR_CODE_RETIRED, "key", "was used by a request that ended long ago", "use a new key"));
+    }
+    return this->admitChecked(admit, admit.repeatable());
+}
+
+Wire::CommandResult StateMachine::Private::admitAgain(const Wire::RequestRecord &record, const Wire::Admit &admit)
+{
+    switch (attemptRule(record, admit)) {
+    case AttemptRule::Repeat: {
+        // A resent proposal starts no work that the configuration has come to forbid since: it may only attach.
+        if (this->checkAdmit(admit).has_error()) {
+            return knownRecord(record);
+        }
+        Wire::CommandResult result;
+        *result.mutable_admitted() = record;
+        return result;
+    }
+    case AttemptRule::Replace:
+        return this->admitChecked(admit, record.repeatable());
+    case AttemptRule::Known:
+        return knownRecord(record);
+    case AttemptRule::ProofMissing:
+        return detail::refusalBeside(makeError(Wire::ERROR_CODE_PROOF_MISSING,
+                                               "attempt",
+                                               "would run a request again that may have run and is not repeatable",
+                                               "abandon the former attempt with proof that it did not run"),
+                                     record);
+    case AttemptRule::KeyReused:
+        break;
+    }
+    return detail::refusalBeside(makeError(Wire::ERROR_CODE_KEY_REUSED, "key", "was used for another request", "use a new key"), record);
+}
+
+Wire::CommandResult StateMachine::Private::admitChecked(const Wire::Admit &admit, bool repeatable)
+{
+    const Check check = this->checkAdmit(admit);
+    if (check.has_error()) {
+        Wire::CommandResult result = refusal(check.error());
+        const Wire::SessionBinding *binding = this->sessions.find(admit.key().organisation(), admit.session(), admit.model());
+        if (binding != nullptr) {
+            result.set_session_version(binding->version());
+        }
+        return result;
+    }
+    Wire::RequestRecord record = detail::admittedRecord(admit, this->appliedIndex, this->timeMs);
+    record.set_repeatable(repeatable);
+    this->requests.put(record);
+    if (!admit.session().empty()) {
+        this->sessions.use(admit, this->timeMs);
+    }
+    Wire::EndpointIncarnation incarnation;
+    incarnation.set_endpoint(admit.endpoint());
+    incarnation.set_incarnation(admit.incarnation());
+    this->incarnations.note(incarnation);
+    Wire::CommandResult result;
+    *result.mutable_admitted() = std::move(record);
+    return result;
+}
+
+Wire::CommandResult StateMachine::Private::settle(const Wire::Settle &settle)
+{
+    const Wire::RequestRecord *found = this->requests.find(settle.key());
+    if (found == nullptr) {
+        return this->noRecord(settle.key());
+    }
+    if (!detail::isCurrentAttempt(*found, settle.attempt())) {
+        return knownRecord(*found);
+    }
+    Wire::RequestRecord record = *found;
+    record.set_state(Wire::RECORD_STATE_SETTLED);
+    record.set_outcome(settle.outcome());
+    // A lost endpoint process reports no final usage: what it last reported counts.
+    const Wire::Usage usage = settle.outcome() == Wire::OUTCOME_LOST ? largerUsage(record.usage(), settle.usage()) : settle.usage();
+    *record.mutable_usage() = boundedUsage(usage);
+    record.set_changed_at_ms(this->timeMs);
+    const Wire::Version *version = findVersion(this->configuration.value(), record.version());
+    record.set_cost_micros(version == nullptr ? 0 : costMicros(*version, record.usage(), record.outcome()));
+    this->requests.put(record);
+    this->ledger.add(record);
+    return knownRecord(record);
+}
+
+Wire::CommandResult StateMachine::Private::abandon(const Wire::Abandon &abandon)
+{
+    const Wire::RequestRecord *found = this->requests.find(abandon.key());
+    if (found == nullptr) {
+        return this->noRecord(abandon.key());
+    }
+    if (!detail::isCurrentAttempt(*found, abandon.attempt())) {
+        return knownRecord(*found);
+    }
+    const bool isProof = abandon.proof() == Wire::NOT_RUN_PROOF_REFUSED || abandon.proof() == Wire::NOT_RUN_PROOF_TOMBSTONE;
+    if (!isProof || abandon.endpoint() != found->endpoint() || abandon.incarnation() != found->incarnation()) {
+        return detail::refusalBeside(makeError(Wire::ERROR_CODE_PROOF_MISSING,
+                                               "proof",
+                                               "is not from the endpoint process with the admitted incarnation",
+                                               "ask that endpoint process to refuse the run"),
+                                     *found);
+    }
+    Wire::RequestRecord record = *found;
+    record.set_state(Wire::RECORD_STATE_ABANDONED);
+    record.clear_usage();
+    record.set_changed_at_ms(this->timeMs);
+    this->requests.put(record);
+    return knownRecord(record);
+}
+
+Wire::CommandResult StateMachine::Private::noteIncarnation(const Wire::EndpointIncarnation &incarnation)
+{
+    if (!this->incarnations.note(incarnation)) {
+        return refusal(makeError(Wire::ERROR_CODE_STALE_INCARNATION, "incarnation", "is older than the newest known one", "end this process"));
+    }
+    return detail::done();
+}
+
+Wire::CommandResult StateMachine::Private::takeFence(const Wire::TakeFence &fence)
+{
+    Wire::EndpointIncarnation incarnation;
+    incarnation.set_endpoint(fence.endpoint());
+    incarnation.set_incarnation(fence.incarnation());
+    if (!this->incarnations.note(incarnation)) {
+        return refusal(makeError(Wire::ERROR_CODE_STALE_INCARNATION, "incarnation", "is older than the newest known one", "send no order; end this process"));
+    }
+    Wire::CommandResult result;
+    result.set_fence(this->appliedIndex);
+    return result;
+}
+
+Wire::CommandResult StateMachine::Private::reportUsage(const Wire::ReportUsage &report)
+{
+    const Wire::RequestRecord *found = this->requests.find(report.key());
+    if (found == nullptr) {
+        return this->noRecord(report.key());
+    }
+    if (!detail::isCurrentAttempt(*found, report.attempt())) {
+        return knownRecord(*found);
+    }
+    Wire::RequestRecord record = *found;
+    *record.mutable_usage() = boundedUsage(largerUsage(record.usage(), report.usage()));
+    this->requests.put(record);
+    return detail::done();
+}
+
+Wire::CommandResult StateMachine::Private::change(const Wire::Command &command)
+{
+    const std::string &id = command.command_id();
+    if (id.empty() || id.size() > detail::MaxCommandIdBytes) {
+        return refusal(makeError(Wire::ERROR_CODE_INVALID, "command_id", "is missing or longer than 128 bytes", "draw a new id for each change"));
+    }
+    if (std::optional<Wire::CommandResult> answer = this->answered.answerTo(command)) {
+        return *std::move(answer);
+    }
+    Wire::CommandResult result = this->configuration.apply(command.change(), command.expected_revision(), this->timeMs);
+    result.set_index(this->appliedIndex);
+    this->answered.remember(command, result, this->timeMs);
+    return result;
+}
+
+Wire::CommandResult StateMachine::Private::noRecord(const Wire::RequestKey &key) const
+{
+    if (this->requests.isRetired(key)) {
+        return knownRecord(detail::retiredRecord(key));
+    }
+    return refusal(makeError(Wire::ERROR_CODE_NOT_FOUND, "key", "names no admitted request", "admit it first"));
+}
+
+Check StateMachine::Private::checkAdmit(const Wire::Admit &admit) const
+{
+    return checkAdmissible({this->configuration.value(), this->sessions, this->incarnations}, admit);
+}
+
+void StateMachine::Private::expire()
+{
+    this->requests.retire(this->timeMs - this->options.recordKeptMs);
+    this->answered.expire(this->timeMs - this->options.answerKeptMs);
+    this->sessions.expire(this->timeMs - this->options.sessionKeptMs);
+}
+
+StateMachine::StateMachine(StateMachineOptions options) : d(std::make_unique<Private>())
+{
+    this->d->options = std::move(options);
+}
+
+StateMachine::~StateMachine() = default;
+
+Wire::CommandResult StateMachine::apply(const Wire::Command &command, std::uint64_t index)
+{
+    this->d->timeMs = std::max(this->d->timeMs, command.time_ms());
+    this->d->appliedIndex = index;
+    this->d->expire();
+    Wire::CommandResult result = this->d->dispatch(command);
+    // A resent change keeps the index of its first answer.
+    if (result.index() == 0) {
+        result.set_index(index);
+    }
+    return result;
+}
+
+std::string StateMachine::snapshot() const
+{
+    Wire::StateSnapshot snapshot;
+    snapshot.set_group(this->d->options.group);
+    *snapshot.mutable_configuration() = this->d->configuration.value();
+    snapshot.set_time_ms(this->d->timeMs);
+    snapshot.set_applied_index(this->d->appliedIndex);
+    this->d->sessions.save(snapshot);
+    this->d->requests.save(snapshot);
+    this->d->ledger.save(snapshot);
+    this->d->answered.save(snapshot);
+    this->d->incarnations.save(snapshot);
+    return snapshot.SerializeAsString();
+}
+
+bool StateMachine::restore(std::string_view bytes)
+{
+    Wire::StateSnapshot snapshot;
+    if (!snapshot.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || snapshot.group() != this->d->options.group) {
+        return false;
+    }
+    this->d->configuration.restore(snapshot.configuration());
+    this->d->timeMs = snapshot.time_ms();
+    this->d->appliedIndex = snapshot.applied_index();
+    this->d->sessions.restore(snapshot);
+    this->d->requests.restore(snapshot);
+    this->d->ledger.restore(snapshot);
+    this->d->answered.restore(snapshot);
+    this->d->incarnations.restore(snapshot);
+    return true;
+}
+
+const Wire::Configuration &StateMachine::configuration() const
+{
+    return this->d->configuration.value();
+}
+
+std::vector<Wire::LedgerDay> StateMachine::ledger(std::string_view organisation, std::string_view day) const
+{
+    return this->d->ledger.days(organisation, day);
+}
+
+Wire::RequestRecord StateMachine::record(const Wire::RequestKey &key) const
+{
+    if (const Wire::RequestRecord *record = this->d->requests.find(key)) {
+        return *record;
+    }
+    return this->d->requests.isRetired(key) ? detail::retiredRecord(key) : Wire::RequestRecord();
+}
+
+std::size_t StateMachine::sessionCount() const
+{
+    return this->d->sessions.size();
+}
+
+std::size_t StateMachine::recordCount() const
+{
+    return this->d->requests.size();
+}
+
+std::size_t StateMachine::retiredKeyCount() const
+{
+    return this->d->requests.retiredCount();
+}
+
+std::uint64_t StateMachine::appliedIndex() const
+{
+    return this->d->appliedIndex;
+}
+
+std::vector<Wire::RequestRecord> StateMachine::orphans() const
+{
+    std::vector<Wire::RequestRecord> found;
+    this->d->requests.forEachOpen([&](const Wire::RequestRecord &record) {
+        if (this->d->incarnations.isGone(record.endpoint(), record.incarnation())) {
+            found.push_back(record);
+        }
+    });
+    return found;
+}
+
+std::vector<Wire::EndpointIncarnation> StateMachine::incarnations() const
+{
+    return this->d->incarnations.all();
+}
+
+} // namespace Apricothead
--- a/Apricothead/src/State/StateMachine.h
+++ b/Apricothead/src/State/StateMachine.h
@@ -60,6 +60,9 @@
     /** \returns admitted records whose endpoint incarnation is known to be gone, for the leader to settle as lost */
     std::vector<Wire::RequestRecord> orphans() const;
 
+    /** \returns the newest known incarnation of each endpoint process; one marked lost gets no work until it is named again without the mark */
+    std::vector<Wire::EndpointIncarnation> incarnations() const;
+
 private:
     struct Private;
     std::unique_ptr<Private> d;
