--- /dev/null
+++ b/Apricothead/src/State/LogStore.cpp
@@ -0,0 +1,480 @@
+#include "LogStore.h"
+
+#include <fcntl.h>
+#include <sqlite3.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <filesystem>
+#include <random>
+
+namespace Apricothead {
+
+namespace {
+
+constexpr std::size_t SnapshotRowBytes = 1024 * 1024;
+
+/** Ends a statement however its use ends. */
+class Statement
+{
+public:
+    Statement(sqlite3 *database, const char *text)
+    {
+        this->valid = sqlite3_prepare_v2(database, text, -1, &this->handle, nullptr) == SQLITE_OK;
+    }
+
+    ~Statement()
+    {
+        sqlite3_finalize(this->handle);
+    }
+
+    Statement(const Statement &) = delete;
+    Statement &operator=(const Statement &) = delete;
+
+    Statement &bind(int column, std::uint64_t value)
+    {
+        sqlite3_bind_int64(this->handle, column, static_cast<sqlite3_int64>(value));
+        return *this;
+    }
+
+    Statement &bind(int column, const std::string &value)
+    {
+        sqlite3_bind_blob64(this->handle, column, value.data(), value.size(), SQLITE_TRANSIENT);
+        return *this;
+    }
+
+    /** \returns true when a row is there */
+    bool row()
+    {
+        this->status = this->valid ? sqlite3_step(this->handle) : SQLITE_ERROR;
+        return this->status == SQLITE_ROW;
+    }
+
+    /** Runs to the end. \returns false on an error */
+    bool run()
+    {
+        while (this->row()) { }
+        const bool done = this->status == SQLITE_DONE;
+        sqlite3_reset(this->handle);
+        return done;
+    }
+
+    bool ended() const
+    {
+        return this->status == SQLITE_DONE;
+    }
+
+    std::uint64_t number(int column)
+    {
+        return static_cast<std::uint64_t>(sqlite3_column_int64(this->handle, column));
+    }
+
+    std::string bytes(int column)
+    {
+        const void *data = sqlite3_column_blob(this->handle, column);
+        const int size = sqlite3_column_bytes(this->handle, column);
+        return data == nullptr ? std::string() : std::string(static_cast<const char *>(data), static_cast<std::size_t>(size));
+    }
+
+private:
+    sqlite3_stmt *handle = nullptr;
+    bool valid = false;
+    int status = SQLITE_OK;
+};
+
+std::uint64_t checksum(std::uint64_t first, std::uint64_t second, std::uint64_t third, const std::string &data)
+{
+    const std::array<std::uint64_t, 3> head{first, second, third};
+    const XXH64_hash_t seed = XXH3_64bits(head.data(), sizeof(head));
+    // SQLite has signed integers only; the same 64 bits come back.
+    return XXH3_64bits_withSeed(data.data(), data.size(), seed);
+}
+
+std::uint64_t entryChecksum(const Wire::LogEntry &entry)
+{
+    return checksum(entry.term(), entry.index(), static_cast<std::uint64_t>(entry.kind()), entry.data());
+}
+
+std::string drawReplicaId()
+{
+    static constexpr char Digits[] = "0123456789abcdef";
+    static constexpr int IdDigits = 16;
+    std::random_device device;
+    std::string id = "r-";
+    for (int digit = 0; digit < IdDigits; ++digit) {
+        id += Digits[device() % 16];
+    }
+    return id;
+}
+
+constexpr const char *Schema = R"sql(
+CREATE TABLE IF NOT EXISTS identity(group_id BLOB PRIMARY KEY, replica BLOB NOT NULL, checksum INTEGER NOT NULL);
+CREATE TABLE IF NOT EXISTS hard_state(group_id BLOB PRIMARY KEY, term INTEGER, vote BLOB, last_index INTEGER, writes INTEGER, checksum INTEGER);
+CREATE TABLE IF NOT EXISTS log(group_id BLOB, idx INTEGER, term INTEGER, kind INTEGER, data BLOB, checksum INTEGER, PRIMARY KEY(group_id, idx)) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS snapshot(group_id BLOB PRIMARY KEY, idx INTEGER, term INTEGER, membership BLOB, size INTEGER, checksum INTEGER);
+CREATE TABLE IF NOT EXISTS snapshot_piece(group_id BLOB, offset INTEGER, data BLOB, checksum INTEGER, PRIMARY KEY(group_id, offset));
+)sql";
+
+} // namespace
+
+struct LogStore::Private {
+    LogStoreOptions options;
+    sqlite3 *database = nullptr;
+    int mark = -1;
+    std::string replica;
+    RaftHardState hardState;
+    std::uint64_t lastIndex = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t entryBytes = 0;
+    bool failed = false;
+
+    ~Private()
+    {
+        sqlite3_close(this->database);
+        if (this->mark >= 0) {
+            ::close(this->mark);
+        }
+    }
+
+    StoreError error(StoreError::Code code, const std::string &what) const
+    {
+        return {.code = code, .message = what + " (folder " + this->options.folder + ")"};
+    }
+
+    StoreError ioError(const std::string &what)
+    {
+        this->failed = true;
+        return this->error(StoreError::Code::Io, what + ": " + sqlite3_errmsg(this->database));
+    }
+
+    bool execute(const char *text) const
+    {
+        return sqlite3_exec(this->database, text, nullptr, nullptr, nullptr) == SQLITE_OK;
+    }
+
+    StoreResult<void> openDatabase();
+    StoreResult<void> readIdentity();
+    StoreResult<void> loadHardState();
+    StoreResult<void> checkMark() const;
+    StoreResult<std::optional<RaftSnapshot>> loadSnapshot();
+    StoreResult<std::vector<Wire::LogEntry>> loadEntries();
+    bool writeHardState();
+    bool writeEntries(const std::vector<Wire::LogEntry> &entries);
+    bool writeSnapshot(const RaftSnapshot &snapshot);
+    bool dropEntriesBefore(std::uint64_t first);
+    bool dropEntriesFrom(std::uint64_t first);
+    bool writeMark() const;
+    StoreResult<void> transaction(const std::function<bool()> &write);
+};
+
+StoreResult<void> LogStore::Private::openDatabase()
+{
+    std::error_code failure;
+    std::filesystem::create_directories(this->options.folder, failure);
+    const std::filesystem::path folder(this->options.folder);
+    if (sqlite3_open((folder / "replica.db").c_str(), &this->database) != SQLITE_OK) {
+        return this->ioError("cannot open replica.db");
+    }
+    const bool ready = this->execute("PRAGMA locking_mode=EXCLUSIVE") && this->execute("PRAGMA journal_mode=WAL") && this->execute("PRAGMA synchronous=FULL")
+        && this->execute(Schema);
+    if (!ready) {
+        return this->ioError("cannot prepare replica.db");
+    }
+    this->mark = ::open((folder / "writes").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    if (this->mark < 0) {
+        return this->ioError("cannot open the file writes");
+    }
+    return boost::outcome_v2::success();
+}
+
+StoreResult<void> LogStore::Private::readIdentity()
+{
+    Statement query(this->database, "SELECT group_id, replica, checksum FROM identity");
+    if (query.row()) {
+        const std::string group = query.bytes(0);
+        this->replica = query.bytes(1);
+        if (group != this->options.group) {
+            return this->error(StoreError::Code::WrongGroup, "the data folder belongs to group " + group);
+        }
+        if (query.number(2) != checksum(0, 0, 0, this->replica)) {
+            return this->error(StoreError::Code::Corrupt, "the replica id is damaged");
+        }
+        return boost::outcome_v2::success();
+    }
+    if (!query.ended()) {
+        return this->ioError("cannot read the replica id");
+    }
+    this->replica = drawReplicaId();
+    return this->transaction([this] {
+        return Statement(this->database, "INSERT INTO identity VALUES(?, ?, ?)")
+            .bind(1, this->options.group)
+            .bind(2, this->replica)
+            .bind(3, checksum(0, 0, 0, this->replica))
+            .run();
+    });
+}
+
+StoreResult<void> LogStore::Private::loadHardState()
+{
+    Statement query(this->database, "SELECT term, vote, last_index, writes, checksum FROM hard_state WHERE group_id = ?");
+    query.bind(1, this->options.group);
+    if (query.row()) {
+        this->hardState = {.term = query.number(0), .vote = query.bytes(1)};
+        this->lastIndex = query.number(2);
+        this->writes = query.number(3);
+        if (query.number(4) != checksum(this->hardState.term, this->lastIndex, this->writes, this->hardState.vote)) {
+            return this->error(StoreError::Code::Corrupt, "term and vote are damaged");
+        }
+        return this->checkMark();
+    }
+    return query.ended() ? this->checkMark() : StoreResult<void>(this->ioError("cannot read term and vote"));
+}
+
+StoreResult<void> LogStore::Private::checkMark() const
+{
+    std::uint64_t marked = 0;
+    const ssize_t got = ::pread(this->mark, &marked, sizeof(marked), 0);
+    // The mark is written after each sync: SQLite silently drops the damaged end of a journal, and this shows it.
+    if (got == static_cast<ssize_t>(sizeof(marked)) && marked > this->writes) {
+        return this->error(StoreError::Code::Corrupt,
+                           "synced writes are gone: " + std::to_string(marked) + " were made, " + std::to_string(this->writes) + " are left");
+    }
+    return boost::outcome_v2::success();
+}
+
+StoreResult<std::optional<RaftSnapshot>> LogStore::Private::loadSnapshot()
+{
+    Statement query(this->database, "SELECT idx, term, membership, size, checksum FROM snapshot WHERE group_id = ?");
+    query.bind(1, this->options.group);
+    if (!query.row()) {
+        return query.ended() ? StoreResult<std::optional<RaftSnapshot>>(std::nullopt) : this->ioError("cannot read the snapshot");
+    }
+    RaftSnapshot snapshot{.index = query.number(0), .term = query.number(1), .membership = {}, .data = {}};
+    const std::string membership = query.bytes(2);
+    const std::uint64_t size = query.number(3);
+    if (query.number(4) != checksum(snapshot.index, snapshot.term, size, membership) || !snapshot.membership.ParseFromString(membership)) {
+        return this->error(StoreError::Code::Corrupt, "the head of the snapshot is damaged");
+    }
+    std::string data;
+    Statement pieces(this->database, "SELECT offset, data, checksum FROM snapshot_piece WHERE group_id = ? ORDER BY offset");
+    pieces.bind(1, this->options.group);
+    while (pieces.row()) {
+        const std::string piece = pieces.bytes(1);
+        if (pieces.number(0) != data.size() || pieces.number(2) != checksum(snapshot.index, data.size(), 0, piece)) {
+            return this->error(StoreError::Code::Corrupt, "the snapshot is damaged at byte " + std::to_string(data.size()));
+        }
+        data += piece;
+    }
+    if (!pieces.ended() || data.size() != size) {
+        return this->error(StoreError::Code::Corrupt, "the snapshot is not whole");
+    }
+    snapshot.data = std::make_shared<const std::string>(std::move(data));
+    return std::optional<RaftSnapshot>(std::move(snapshot));
+}
+
+StoreResult<std::vector<Wire::LogEntry>> LogStore::Private::loadEntries()
+{
+    std::vector<Wire::LogEntry> entries;
+    Statement query(this->database, "SELECT idx, term, kind, data, checksum FROM log WHERE group_id = ? ORDER BY idx");
+    query.bind(1, this->options.group);
+    while (query.row()) {
+        Wire::LogEntry entry;
+        entry.set_index(query.number(0));
+        entry.set_term(query.number(1));
+        entry.set_kind(static_cast<Wire::EntryKind>(query.number(2)));
+        entry.set_data(query.bytes(3));
+        if (query.number(4) != entryChecksum(entry)) {
+            return this->error(StoreError::Code::Corrupt, "log entry " + std::to_string(entry.index()) + " is damaged");
+        }
+        if (!entries.empty() && entry.index() != entries.back().index() + 1) {
+            return this->error(StoreError::Code::Corrupt, "log entry " + std::to_string(entries.back().index() + 1) + " is missing");
+        }
+        entries.push_back(std::move(entry));
+    }
+    if (!query.ended()) {
+        return this->error(StoreError::Code::Corrupt, std::string("the log cannot be read: ") + sqlite3_errmsg(this->database));
+    }
+    return entries;
+}
+
+bool LogStore::Private::writeHardState()
+{
+    return Statement(this->database, "INSERT OR REPLACE INTO hard_state VALUES(?, ?, ?, ?, ?, ?)")
+        .bind(1, this->options.group)
+        .bind(2, this->hardState.term)
+        .bind(3, this->hardState.vote)
+        .bind(4, this->lastIndex)
+        .bind(5, this->writes)
+        .bind(6, checksum(this->hardState.term, this->lastIndex, this->writes, this->hardState.vote))
+        .run();
+}
+
+bool LogStore::Private::writeEntries(const std::vector<Wire::LogEntry> &entries)
+{
+    Statement insert(this->database, "INSERT INTO log VALUES(?, ?, ?, ?, ?, ?)");
+    for (const Wire::LogEntry &entry : entries) {
+        const bool written = insert.bind(1, this->options.group)
+                                 .bind(2, entry.index())
+                                 .bind(3, entry.term())
+                                 .bind(4, static_cast<std::uint64_t>(entry.kind()))
+                                 .bind(5, entry.data())
+                                 .bind(6, entryChecksum(entry))
+                                 .run();
+        if (!written) {
+            return false;
+        }
+        this->entryBytes += entry.data().size();
+    }
+    return true;
+}
+
+bool LogStore::Private::writeSnapshot(const RaftSnapshot &snapshot)
+{
+    const std::string empty;
+    const std::string &data = snapshot.data ? *snapshot.data : empty;
+    const std::string membership = snapshot.membership.SerializeAsString();
+    bool written = Statement(this->database, "DELETE FROM snapshot_piece WHERE group_id = ?").bind(1, this->options.group).run();
+    written = written
+        && Statement(this->database, "INSERT OR REPLACE INTO snapshot VALUES(?, ?, ?, ?, ?, ?)")
+               .bind(1, this->options.group)
+               .bind(2, snapshot.index)
+               .bind(3, snapshot.term)
+               .bind(4, membership)
+               .bind(5, static_cast<std::uint64_t>(data.size()))
+               .bind(6, checksum(snapshot.index, snapshot.term, data.size(), membership))
+               .run();
+    Statement insert(this->database, "INSERT INTO snapshot_piece VALUES(?, ?, ?, ?)");
+    for (std::size_t offset = 0; written && offset < data.size(); offset += SnapshotRowBytes) {
+        const std::string piece = data.substr(offset, SnapshotRowBytes);
+        written = insert.bind(1, this->options.group)
+                      .bind(2, static_cast<std::uint64_t>(offset))
+                      .bind(3, piece)
+                      .bind(4, checksum(snapshot.index, offset, 0, piece))
+                      .run();
+    }
+    return written;
+}
+
+bool LogStore::Private::dropEntriesBefore(std::uint64_t first)
+{
+    return Statement(this->database, "DELETE FROM log WHERE group_id = ? AND idx < ?").bind(1, this->options.group).bind(2, first).run();
+}
+
+bool LogStore::Private::dropEntriesFrom(std::uint64_t first)
+{
+    return Statement(this->database, "DELETE FROM log WHERE group_id = ? AND idx >= ?").bind(1, this->options.group).bind(2, first).run();
+}
+
+bool LogStore::Private::writeMark() const
+{
+    // Not synced: it may lag behind after a power failure, but it is never ahead of the database.
+    return ::pwrite(this->mark, &this->writes, sizeof(this->writes), 0) == static_cast<ssize_t>(sizeof(this->writes));
+}
+
+StoreResult<void> LogStore::Private::transaction(const std::function<bool()> &write)
+{
+    if (this->failed) {
+        return this->error(StoreError::Code::Io, "an earlier write failed; what reached the disk is unknown");
+    }
+    ++this->writes;
+    if (!this->execute("BEGIN IMMEDIATE") || !write() || !this->writeHardState()) {
+        const StoreError failure = this->ioError("write failed");
+        this->execute("ROLLBACK");
+        return failure;
+    }
+    if ((this->options.beforeSync && !this->options.beforeSync()) || !this->execute("COMMIT") || !this->writeMark()) {
+        return this->ioError("sync failed");
+    }
+    return boost::outcome_v2::success();
+}
+
+LogStore::LogStore(std::unique_ptr<Private> inner) : d(std::move(inner))
+{ }
+
+LogStore::~LogStore() = default;
+
+StoreResult<std::unique_ptr<LogStore>> LogStore::open(LogStoreOptions options)
+{
+    auto inner = std::make_unique<Private>();
+    inner->options = std::move(options);
+    BOOST_OUTCOME_TRYV(inner->openDatabase());
+    BOOST_OUTCOME_TRYV(inner->loadHardState());
+    BOOST_OUTCOME_TRYV(inner->readIdentity());
+    return std::unique_ptr<LogStore>(new LogStore(std::move(inner)));
+}
+
+const std::string &LogStore::replica() const
+{
+    return this->d->replica;
+}
+
+StoreResult<RaftStored> LogStore::load()
+{
+    RaftStored stored;
+    stored.hardState = this->d->hardState;
+    BOOST_OUTCOME_TRY(snapshot, this->d->loadSnapshot());
+    BOOST_OUTCOME_TRY(entries, this->d->loadEntries());
+    const std::uint64_t covered = snapshot ? snapshot->index : 0;
+    if (!entries.empty() && entries.front().index() > covered + 1) {
+        return this->d->error(StoreError::Code::Corrupt, "log entry " + std::to_string(covered + 1) + " is missing");
+    }
+    const std::uint64_t last = entries.empty() ? covered : std::max(covered, entries.back().index());
+    if (last != this->d->lastIndex) {
+        return this->d->error(StoreError::Code::Corrupt,
+                              "the log ends at " + std::to_string(last) + ", but entry " + std::to_string(this->d->lastIndex) + " was synced");
+    }
+    if (!entries.empty() && entries.back().index() < covered) {
+        entries.clear();
+    }
+    if (!entries.empty() && entries.front().index() <= covered) {
+        stored.baseTerm = entries.front().term();
+        entries.erase(entries.begin());
+    }
+    stored.snapshot = std::move(snapshot);
+    stored.entries = std::move(entries);
+    return stored;
+}
+
+StoreResult<void> LogStore::save(const RaftOutput &output)
+{
+    if (output.hardState) {
+        this->d->hardState = *output.hardState;
+    }
+    return this->d->transaction([this, &output] {
+        bool written = true;
+        if (output.snapshot) {
+            written = this->d->dropEntriesFrom(0) && this->d->writeSnapshot(*output.snapshot);
+            this->d->lastIndex = output.snapshot->index;
+        }
+        if (!written || output.entries.empty()) {
+            return written;
+        }
+        if (output.entries.front().index() <= this->d->lastIndex && !this->d->dropEntriesFrom(output.entries.front().index())) {
+            return false;
+        }
+        this->d->lastIndex = output.entries.back().index();
+        return this->d->writeEntries(output.entries);
+    });
+}
+
+StoreResult<void> LogStore::compact(const RaftSnapshot &snapshot, std::uint64_t firstKept)
+{
+    return this->d->transaction([this, &snapshot, firstKept] {
+        // One entry more is kept for the term before the first one.
+        return this->d->writeSnapshot(snapshot) && this->d->dropEntriesBefore(firstKept > 0 ? firstKept - 1 : 0);
+    });
+}
+
+std::uint64_t LogStore::syncCount() const
+{
+    return this->d->writes;
+}
+
+std::uint64_t LogStore::entryBytes() const
+{
+    return this->d->entryBytes;
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/State/Raft.cpp
@@ -0,0 +1,871 @@
+#include "Raft.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Apricothead {
+
+namespace {
+
+std::set<std::string> votersOf(const Wire::Membership &membership)
+{
+    std::set<std::string> voters;
+    for (const Wire::Member &member : membership.members()) {
+        if (!member.learner()) {
+            voters.insert(member.replica());
+        }
+    }
+    return voters;
+}
+
+} // namespace
+
+Raft::Raft(RaftOptions given, RaftStored stored)
+    : options(std::move(given))
+    , entries(stored)
+    , hardState(stored.hardState)
+    , syncedState(stored.hardState)
+    , commit(entries.snapshot().index)
+    , handedOut(entries.snapshot().index)
+    , syncedIndex(entries.lastIndex())
+{
+    this->resetElectionTimer();
+}
+
+RaftRole Raft::role() const
+{
+    return this->currentRole;
+}
+
+std::uint64_t Raft::term() const
+{
+    return this->hardState.term;
+}
+
+const std::string &Raft::leader() const
+{
+    return this->currentLeader;
+}
+
+std::uint64_t Raft::commitIndex() const
+{
+    return this->commit;
+}
+
+const RaftLog &Raft::log() const
+{
+    return this->entries;
+}
+
+const Wire::Membership &Raft::membership() const
+{
+    return this->entries.membership();
+}
+
+bool Raft::isVoter(const std::string &member) const
+{
+    const auto &all = this->membership().members();
+    return std::any_of(all.begin(), all.end(), [&](const Wire::Member &one) {
+        return one.replica() == member && !one.learner();
+    });
+}
+
+bool Raft::isHandingOver() const
+{
+    return !this->transferTarget.empty();
+}
+
+const std::map<std::string, RaftProgress> &Raft::progress() const
+{
+    return this->members;
+}
+
+bool Raft::quorum(const std::function<bool(const std::string &)> &holds) const
+{
+    std::size_t voters = 0;
+    std::size_t holding = 0;
+    for (const Wire::Member &member : this->membership().members()) {
+        if (member.learner()) {
+            continue;
+        }
+        ++voters;
+        holding += holds(member.replica()) ? 1 : 0;
+    }
+    return voters > 0 && holding > voters / 2;
+}
+
+Wire::RaftMessage Raft::message(Wire::RaftKind kind, const std::string &to) const
+{
+    Wire::RaftMessage result;
+    result.set_kind(kind);
+    result.set_from(this->options.self);
+    result.set_to(to);
+    result.set_term(this->hardState.term);
+    return result;
+}
+
+void Raft::send(Wire::RaftMessage message)
+{
+    this->late.push_back(std::move(message));
+}
+
+void Raft::sendEarly(Wire::RaftMessage message)
+{
+    this->early.push_back(std::move(message));
+}
+
+// ---- time ----
+
+void Raft::tick()
+{
+    ++this->electionElapsed;
+    if (this->currentRole == RaftRole::Leader) {
+        this->tickLeader();
+        return;
+    }
+    if (this->electionElapsed < this->electionTimeout || !this->isVoter(this->options.self)) {
+        return;
+    }
+    this->startElection(RaftRole::PreCandidate, false);
+}
+
+void Raft::campaign()
+{
+    if (this->currentRole != RaftRole::Leader && this->isVoter(this->options.self)) {
+        this->startElection(RaftRole::PreCandidate, false);
+    }
+}
+
+void Raft::resetElectionTimer()
+{
+    this->electionElapsed = 0;
+    this->electionTimeout = this->options.electionTicks + static_cast<unsigned>(this->options.random() % this->options.electionTicks);
+}
+
+void Raft::tickLeader()
+{
+    if (!this->transferTarget.empty() && ++this->transferElapsed >= this->options.electionTicks) {
+        this->transferTarget.clear();
+    }
+    if (this->electionElapsed >= this->options.electionTicks) {
+        this->checkQuorum();
+    }
+    if (this->currentRole == RaftRole::Leader && ++this->heartbeatElapsed >= this->options.heartbeatTicks) {
+        this->sendHeartbeats();
+    }
+}
+
+void Raft::checkQuorum()
+{
+    this->electionElapsed = 0;
+    const bool heard = this->quorum([this](const std::string &member) {
+        const auto found = this->members.find(member);
+        return member == this->options.self || (found != this->members.end() && found->second.active);
+    });
+    if (!heard) {
+        this->becomeFollower(this->hardState.term, {});
+        return;
+    }
+    for (auto &[name, member] : this->members) {
+        member.active = false;
+    }
+}
+
+// ---- elections ----
+
+void Raft::becomeFollower(std::uint64_t term, const std::string &leader)
+{
+    if (term > this->hardState.term) {
+        this->hardState = {.term = term, .vote = {}};
+    }
+    this->currentRole = RaftRole::Follower;
+    this->currentLeader = leader;
+    this->transferTarget.clear();
+    this->failReads();
+    this->resetElectionTimer();
+}
+
+void Raft::startElection(RaftRole role, bool transfer)
+{
+    this->currentRole = role;
+    this->currentLeader.clear();
+    this->failReads();
+    this->resetElectionTimer();
+    const bool real = role == RaftRole::Candidate;
+    if (real) {
+        this->hardState = {.term = this->hardState.term + 1, .vote = this->options.self};
+    }
+    this->election.answers = {{this->options.self, true}};
+    for (const Wire::Member &member : this->membership().members()) {
+        if (member.learner() || member.replica() == this->options.self) {
+            continue;
+        }
+        Wire::RaftMessage request = this->message(real ? Wire::RAFT_KIND_VOTE : Wire::RAFT_KIND_PRE_VOTE, member.replica());
+        request.set_term(real ? this->hardState.term : this->hardState.term + 1);
+        request.set_log_index(this->entries.lastIndex());
+        request.set_log_term(this->entries.lastTerm());
+        request.set_transfer(transfer);
+        this->send(std::move(request));
+    }
+    this->countElection();
+}
+
+void Raft::countElection()
+{
+    const auto answered = [this](bool granted) {
+        return this->quorum([this, granted](const std::string &member) {
+            const auto found = this->election.answers.find(member);
+            return found != this->election.answers.end() && found->second == granted;
+        });
+    };
+    if (answered(true)) {
+        if (this->currentRole == RaftRole::PreCandidate) {
+            this->startElection(RaftRole::Candidate, false);
+        } else {
+            this->becomeLeader();
+        }
+        return;
+    }
+    if (answered(false)) {
+        this->becomeFollower(this->hardState.term, {});
+    }
+}
+
+void Raft::answerElection(const Wire::RaftMessage &message)
+{
+    const bool pre = message.kind() == Wire::RAFT_KIND_PRE_VOTE;
+    const bool granted = this->mayVote(message);
+    Wire::RaftMessage reply = this->message(pre ? Wire::RAFT_KIND_PRE_VOTE_REPLY : Wire::RAFT_KIND_VOTE_REPLY, message.from());
+    reply.set_reject(!granted);
+    if (granted) {
+        // A granted pre-vote carries the term that it is for.
+        reply.set_term(message.term());
+    }
+    if (granted && !pre) {
+        this->hardState.vote = message.from();
+        this->resetElectionTimer();
+    }
+    this->send(std::move(reply));
+}
+
+bool Raft::mayVote(const Wire::RaftMessage &message) const
+{
+    const bool pre = message.kind() == Wire::RAFT_KIND_PRE_VOTE;
+    // A replica that knows no membership with itself in it has lost its log or never had one: its vote would count for entries that it lacks.
+    const auto &all = this->membership().members();
+    const bool belongs = std::any_of(all.begin(), all.end(), [this](const Wire::Member &one) {
+        return one.replica() == this->options.self;
+    });
+    if (!belongs) {
+        return false;
+    }
+    const bool free = pre ? message.term() > this->hardState.term : (this->hardState.vote.empty() || this->hardState.vote == message.from());
+    const std::uint64_t ownTerm = this->entries.lastTerm();
+    const bool upToDate = message.log_term() > ownTerm || (message.log_term() == ownTerm && message.log_index() >= this->entries.lastIndex());
+    return free && upToDate;
+}
+
+bool Raft::hasLease() const
+{
+    return !this->currentLeader.empty() && this->electionElapsed < this->options.electionTicks;
+}
+
+void Raft::becomeLeader()
+{
+    this->currentRole = RaftRole::Leader;
+    this->currentLeader = this->options.self;
+    this->electionElapsed = 0;
+    this->heartbeatElapsed = 0;
+    this->transferTarget.clear();
+    this->members.clear();
+    this->syncProgressWithMembership();
+    // Entries of earlier terms are committed only through an entry of this term.
+    this->termStart = this->appendOwn(Wire::ENTRY_KIND_EMPTY, {});
+}
+
+// ---- messages ----
+
+void Raft::step(const Wire::RaftMessage &message)
+{
+    if (message.to() != this->options.self || !this->passesTermCheck(message)) {
+        return;
+    }
+    switch (message.kind()) {
+    case Wire::RAFT_KIND_PRE_VOTE:
+    case Wire::RAFT_KIND_VOTE:
+        this->answerElection(message);
+        return;
+    case Wire::RAFT_KIND_PRE_VOTE_REPLY:
+    case Wire::RAFT_KIND_VOTE_REPLY: {
+        const RaftRole wanted = message.kind() == Wire::RAFT_KIND_VOTE_REPLY ? RaftRole::Candidate : RaftRole::PreCandidate;
+        // A granted pre-vote of an earlier round carries an earlier term.
+        const bool outdated = wanted == RaftRole::PreCandidate && !message.reject() && message.term() != this->hardState.term + 1;
+        if (this->currentRole == wanted && !outdated) {
+            this->election.answers[message.from()] = !message.reject();
+            this->countElection();
+        }
+        return;
+    }
+    case Wire::RAFT_KIND_APPEND:
+        this->handleAppend(message);
+        return;
+    case Wire::RAFT_KIND_SNAPSHOT:
+        this->handleSnapshot(message);
+        return;
+    case Wire::RAFT_KIND_APPEND_REPLY:
+        this->handleAppendReply(message);
+        return;
+    case Wire::RAFT_KIND_SNAPSHOT_REPLY:
+        this->handleSnapshotReply(message);
+        return;
+    case Wire::RAFT_KIND_TIMEOUT_NOW:
+        this->handleTimeoutNow();
+        return;
+    default:
+        return;
+    }
+}
+
+bool Raft::passesTermCheck(const Wire::RaftMessage &message)
+{
+    const bool asks = message.kind() == Wire::RAFT_KIND_PRE_VOTE || message.kind() == Wire::RAFT_KIND_VOTE;
+    if (asks && message.term() > this->hardState.term && this->hasLease() && !message.transfer()) {
+        // A leader is alive: a replica that was cut off must not depose it.
+        return false;
+    }
+    if (message.term() < this->hardState.term) {
+        this->refuseOldTerm(message);
+        return false;
+    }
+    if (message.term() == this->hardState.term || message.kind() == Wire::RAFT_KIND_PRE_VOTE) {
+        return true;
+    }
+    if (message.kind() == Wire::RAFT_KIND_PRE_VOTE_REPLY && !message.reject()) {
+        return message.term() == this->hardState.term + 1;
+    }
+    this->becomeFollower(message.term(), {});
+    return true;
+}
+
+void Raft::refuseOldTerm(const Wire::RaftMessage &message)
+{
+    if (message.kind() == Wire::RAFT_KIND_APPEND || message.kind() == Wire::RAFT_KIND_SNAPSHOT) {
+        // Tells a deposed leader of the newer term.
+        Wire::RaftMessage reply = this->message(Wire::RAFT_KIND_APPEND_REPLY, message.from());
+        reply.set_reject(true);
+        this->send(std::move(reply));
+    }
+    if (message.kind() == Wire::RAFT_KIND_PRE_VOTE) {
+        Wire::RaftMessage reply = this->message(Wire::RAFT_KIND_PRE_VOTE_REPLY, message.from());
+        reply.set_reject(true);
+        this->send(std::move(reply));
+    }
+}
+
+void Raft::handleTimeoutNow()
+{
+    if (this->currentRole == RaftRole::Follower && this->isVoter(this->options.self)) {
+        this->startElection(RaftRole::Candidate, true);
+    }
+}
+
+// ---- follower ----
+
+void Raft::handleAppend(const Wire::RaftMessage &message)
+{
+    if (this->currentRole == RaftRole::Leader) {
+        return;
+    }
+    this->currentRole = RaftRole::Follower;
+    this->currentLeader = message.from();
+    this->electionElapsed = 0;
+    if (message.log_index() >= this->commit && !this->entries.matches(message.log_index(), message.log_term())) {
+        this->rejectAppend(message);
+        return;
+    }
+    this->appendFrom(message);
+    const std::uint64_t matched = message.log_index() + static_cast<std::uint64_t>(message.entries_size());
+    this->commitTo(std::min(message.commit(), matched));
+    Wire::RaftMessage reply = this->message(Wire::RAFT_KIND_APPEND_REPLY, message.from());
+    reply.set_log_index(matched);
+    reply.set_round(message.round());
+    this->send(std::move(reply));
+}
+
+void Raft::rejectAppend(const Wire::RaftMessage &message)
+{
+    std::uint64_t hint = std::min(message.log_index() - 1, this->entries.lastIndex());
+    if (message.log_index() <= this->entries.lastIndex()) {
+        // Skip the whole term that conflicts.
+        const std::uint64_t conflict = this->entries.term(message.log_index());
+        while (hint > this->commit && this->entries.term(hint) == conflict) {
+            --hint;
+        }
+    }
+    Wire::RaftMessage reply = this->message(Wire::RAFT_KIND_APPEND_REPLY, message.from());
+    reply.set_reject(true);
+    reply.set_log_index(message.log_index());
+    reply.set_hint_index(hint);
+    reply.set_round(message.round());
+    this->send(std::move(reply));
+}
+
+void Raft::appendFrom(const Wire::RaftMessage &message)
+{
+    for (const Wire::LogEntry &entry : message.entries()) {
+        if (entry.index() <= this->commit || this->entries.matches(entry.index(), entry.term())) {
+            continue;
+        }
+        if (entry.index() <= this->entries.lastIndex()) {
+            this->entries.truncateFrom(entry.index());
+            this->syncedIndex = std::min(this->syncedIndex, entry.index() - 1);
+        }
+        this->entries.append(entry);
+    }
+}
+
+void Raft::commitTo(std::uint64_t index)
+{
+    this->commit = std::max(this->commit, std::min(index, this->entries.lastIndex()));
+}
+
+void Raft::handleSnapshot(const Wire::RaftMessage &message)
+{
+    if (this->currentRole == RaftRole::Leader) {
+        return;
+    }
+    this->currentRole = RaftRole::Follower;
+    this->currentLeader = message.from();
+    this->electionElapsed = 0;
+    if (message.snapshot_index() <= this->commit) {
+        Wire::RaftMessage reply = this->message(Wire::RAFT_KIND_APPEND_REPLY, message.from());
+        reply.set_log_index(this->commit);
+        reply.set_round(message.round());
+        this->send(std::move(reply));
+        return;
+    }
+    if (message.snapshot_index() != this->incomingIndex || message.snapshot_term() != this->incomingTerm) {
+        this->incoming.clear();
+        this->incomingIndex = message.snapshot_index();
+        this->incomingTerm = message.snapshot_term();
+    }
+    const bool fits = message.snapshot_offset() == this->incoming.size();
+    if (fits) {
+        this->incoming += message.snapshot_piece();
+    }
+    if (this->incoming.size() >= message.snapshot_size()) {
+        this->installSnapshot(message);
+        return;
+    }
+    Wire::RaftMessage reply = this->message(Wire::RAFT_KIND_SNAPSHOT_REPLY, message.from());
+    reply.set_reject(!fits);
+    reply.set_snapshot_index(message.snapshot_index());
+    reply.set_snapshot_offset(this->incoming.size());
+    reply.set_round(message.round());
+    this->send(std::move(reply));
+}
+
+void Raft::installSnapshot(const Wire::RaftMessage &message)
+{
+    RaftSnapshot snapshot{
+        .index = message.snapshot_index(),
+        .term = message.snapshot_term(),
+        .membership = message.snapshot_membership(),
+        .data = std::make_shared<const std::string>(std::move(this->incoming)),
+    };
+    this->incoming.clear();
+    this->incomingIndex = 0;
+    this->entries.restore(snapshot);
+    this->commit = snapshot.index;
+    this->handedOut = snapshot.index;
+    this->syncedIndex = snapshot.index;
+    Wire::RaftMessage reply = this->message(Wire::RAFT_KIND_APPEND_REPLY, message.from());
+    reply.set_log_index(snapshot.index);
+    reply.set_round(message.round());
+    this->toInstall = std::move(snapshot);
+    this->send(std::move(reply));
+}
+
+// ---- leader ----
+
+std::uint64_t Raft::appendOwn(Wire::EntryKind kind, std::string data)
+{
+    Wire::LogEntry entry;
+    entry.set_term(this->hardState.term);
+    entry.set_index(this->entries.lastIndex() + 1);
+    entry.set_kind(kind);
+    entry.set_data(std::move(data));
+    this->entries.append(std::move(entry));
+    return this->entries.lastIndex();
+}
+
+std::optional<RaftRefusal> Raft::refusalOfProposal() const
+{
+    if (this->currentRole != RaftRole::Leader) {
+        return RaftRefusal::NotLeader;
+    }
+    if (this->isHandingOver()) {
+        return RaftRefusal::HandingOver;
+    }
+    if (this->entries.lastIndex() - this->commit >= this->options.maxUncommitted) {
+        return RaftRefusal::TooManyUncommitted;
+    }
+    return std::nullopt;
+}
+
+RaftProposal Raft::propose(std::string data)
+{
+    if (const auto refusal = this->refusalOfProposal()) {
+        return *refusal;
+    }
+    return this->appendOwn(Wire::ENTRY_KIND_COMMAND, std::move(data));
+}
+
+std::optional<RaftRefusal> Raft::refusalOfChange(const Wire::Membership &membership) const
+{
+    // Without an entry of its own term a leader cannot know whether an earlier leader's change is committed.
+    if (this->commit < this->termStart || this->entries.membershipIndex() > this->commit) {
+        return RaftRefusal::ChangePending;
+    }
+    const std::set<std::string> before = votersOf(this->membership());
+    const std::set<std::string> after = votersOf(membership);
+    std::vector<std::string> changed;
+    std::set_symmetric_difference(before.begin(), before.end(), after.begin(), after.end(), std::back_inserter(changed));
+    if (changed.size() > 1 || after.empty()) {
+        return RaftRefusal::NotOneVoter;
+    }
+    for (const std::string &voter : changed) {
+        if (before.contains(voter)) {
+            continue;
+        }
+        const auto found = this->members.find(voter);
+        if (found == this->members.end() || found->second.match < this->commit) {
+            return RaftRefusal::NotCaughtUp;
+        }
+    }
+    return std::nullopt;
+}
+
+RaftProposal Raft::proposeMembership(const Wire::Membership &membership)
+{
+    if (const auto refusal = this->refusalOfProposal()) {
+        return *refusal;
+    }
+    if (const auto refusal = this->refusalOfChange(membership)) {
+        return *refusal;
+    }
+    const std::uint64_t index = this->appendOwn(Wire::ENTRY_KIND_MEMBERSHIP, membership.SerializeAsString());
+    this->syncProgressWithMembership();
+    return index;
+}
+
+void Raft::syncProgressWithMembership()
+{
+    std::set<std::string> wanted;
+    for (const Wire::Member &member : this->membership().members()) {
+        if (member.replica() == this->options.self) {
+            continue;
+        }
+        wanted.insert(member.replica());
+        // A first append probes for the end of the other's log.
+        this->members.try_emplace(member.replica(), RaftProgress{.next = this->entries.lastIndex() + 1});
+    }
+    std::erase_if(this->members, [&wanted](const auto &known) {
+        return !wanted.contains(known.first);
+    });
+}
+
+void Raft::sendHeartbeats()
+{
+    this->heartbeatElapsed = 0;
+    for (auto &[name, member] : this->members) {
+        if (!member.sending) {
+            this->sendAppend(name, member, true);
+            continue;
+        }
+        // A piece is large: one that was lost is sent again only after a longer pause.
+        if (++member.stalledHeartbeats * this->options.heartbeatTicks >= this->options.electionTicks) {
+            this->sendSnapshotPiece(name, member);
+            continue;
+        }
+        this->sendEarly(this->emptyAppend(name, member.sending->index, member.sending->term));
+    }
+}
+
+Wire::RaftMessage Raft::emptyAppend(const std::string &to, std::uint64_t index, std::uint64_t term) const
+{
+    Wire::RaftMessage append = this->message(Wire::RAFT_KIND_APPEND, to);
+    append.set_log_index(index);
+    append.set_log_term(term);
+    append.set_commit(this->commit);
+    append.set_round(this->round);
+    return append;
+}
+
+void Raft::sendDueAppends()
+{
+    for (auto &[name, member] : this->members) {
+        if (member.sending) {
+            continue;
+        }
+        if (member.probing) {
+            if (!member.probeSent) {
+                this->sendAppend(name, member, false);
+            }
+            continue;
+        }
+        while (!member.sending && member.next <= this->entries.lastIndex() && member.next - member.match <= this->options.maxInFlight) {
+            this->sendAppend(name, member, false);
+        }
+    }
+}
+
+void Raft::sendAppend(const std::string &to, RaftProgress &member, bool heartbeat)
+{
+    if (member.next < this->entries.firstIndex()) {
+        member.sending = this->entries.snapshot();
+        member.offset = 0;
+        this->sendSnapshotPiece(to, member);
+        return;
+    }
+    Wire::RaftMessage append = this->emptyAppend(to, member.next - 1, this->entries.term(member.next - 1));
+    if (!heartbeat || member.probing) {
+        for (Wire::LogEntry &entry : this->entries.slice(member.next, this->entries.lastIndex(), this->options.maxAppendBytes)) {
+            append.add_entries()->Swap(&entry);
+        }
+    }
+    if (member.probing) {
+        member.probeSent = true;
+    } else {
+        member.next += static_cast<std::uint64_t>(append.entries_size());
+    }
+    this->sendEarly(std::move(append));
+}
+
+void Raft::sendSnapshotPiece(const std::string &to, RaftProgress &member)
+{
+    const RaftSnapshot &snapshot = *member.sending;
+    member.stalledHeartbeats = 0;
+    Wire::RaftMessage piece = this->message(Wire::RAFT_KIND_SNAPSHOT, to);
+    piece.set_round(this->round);
+    piece.set_snapshot_index(snapshot.index);
+    piece.set_snapshot_term(snapshot.term);
+    *piece.mutable_snapshot_membership() = snapshot.membership;
+    const std::string empty;
+    const std::string &data = snapshot.data ? *snapshot.data : empty;
+    piece.set_snapshot_offset(member.offset);
+    piece.set_snapshot_size(data.size());
+    piece.set_snapshot_piece(data.substr(std::min<std::size_t>(member.offset, data.size()), this->options.snapshotPieceBytes));
+    this->sendEarly(std::move(piece));
+}
+
+void Raft::handleSnapshotReply(const Wire::RaftMessage &message)
+{
+    const auto found = this->members.find(message.from());
+    if (this->currentRole != RaftRole::Leader || found == this->members.end()) {
+        return;
+    }
+    RaftProgress &member = found->second;
+    member.active = true;
+    member.round = std::max(member.round, message.round());
+    if (!member.sending || message.snapshot_index() != member.sending->index) {
+        return;
+    }
+    // A reply that asks for the piece under way comes from a message delivered twice.
+    if (message.snapshot_offset() != member.offset) {
+        member.offset = message.snapshot_offset();
+        this->sendSnapshotPiece(found->first, member);
+    }
+    this->confirmReads();
+}
+
+void Raft::handleAppendReply(const Wire::RaftMessage &message)
+{
+    const auto found = this->members.find(message.from());
+    if (this->currentRole != RaftRole::Leader || found == this->members.end()) {
+        return;
+    }
+    RaftProgress &member = found->second;
+    member.active = true;
+    member.round = std::max(member.round, message.round());
+    if (!message.reject()) {
+        this->acceptAppend(member, message.log_index());
+    } else if (message.log_index() > member.match && !member.sending) {
+        // Something before log_index is missing there; a rejection that arrives late costs a resend at most.
+        member.next = std::max(member.match, std::min(message.hint_index(), this->entries.lastIndex())) + 1;
+        member.probing = true;
+        member.probeSent = false;
+    }
+    this->confirmReads();
+    this->finishTransfer();
+}
+
+void Raft::acceptAppend(RaftProgress &member, std::uint64_t match)
+{
+    member.match = std::max(member.match, match);
+    member.next = std::max(member.next, member.match + 1);
+    if (member.sending && member.match >= member.sending->index) {
+        member.sending.reset();
+    }
+    if (member.probing) {
+        member.probing = false;
+        member.next = member.match + 1;
+    }
+    member.probeSent = false;
+    this->advanceCommit();
+}
+
+void Raft::advanceCommit()
+{
+    std::vector<std::uint64_t> matches;
+    for (const std::string &voter : votersOf(this->membership())) {
+        const auto found = this->members.find(voter);
+        if (voter == this->options.self) {
+            matches.push_back(this->syncedIndex);
+        } else {
+            matches.push_back(found == this->members.end() ? 0 : found->second.match);
+        }
+    }
+    if (matches.empty()) {
+        return;
+    }
+    std::sort(matches.rbegin(), matches.rend());
+    const std::uint64_t agreed = matches[matches.size() / 2];
+    // An entry of an earlier term may still be replaced although a majority holds it.
+    if (agreed <= this->commit || this->entries.term(agreed) != this->hardState.term) {
+        return;
+    }
+    this->commit = agreed;
+    const bool removed = this->entries.membershipIndex() <= this->commit && !this->isVoter(this->options.self);
+    if (removed) {
+        this->sendHeartbeats();
+        this->becomeFollower(this->hardState.term, {});
+    }
+}
+
+// ---- reads and hand-over ----
+
+bool Raft::read(std::uint64_t id)
+{
+    if (this->currentRole != RaftRole::Leader) {
+        return false;
+    }
+    this->pendingReads.push_back({.id = id, .index = std::max(this->commit, this->termStart), .round = this->round + 1});
+    return true;
+}
+
+void Raft::confirmReads()
+{
+    std::vector<PendingRead> waiting;
+    for (const PendingRead &read : this->pendingReads) {
+        const bool heard = this->quorum([this, &read](const std::string &member) {
+            const auto found = this->members.find(member);
+            return member == this->options.self || (found != this->members.end() && found->second.round >= read.round);
+        });
+        if (heard && read.round <= this->round && read.index <= this->handedOut) {
+            this->endedReads.push_back({.id = read.id, .confirmed = true});
+            continue;
+        }
+        waiting.push_back(read);
+    }
+    this->pendingReads = std::move(waiting);
+}
+
+void Raft::failReads()
+{
+    for (const PendingRead &read : this->pendingReads) {
+        this->endedReads.push_back({.id = read.id, .confirmed = false});
+    }
+    this->pendingReads.clear();
+}
+
+bool Raft::transferLeadership(std::string member)
+{
+    if (this->currentRole != RaftRole::Leader) {
+        return false;
+    }
+    std::uint64_t longest = 0;
+    for (const auto &[name, known] : this->members) {
+        if (member.empty() ? this->isVoter(name) && known.match > longest && known.active : false) {
+            longest = known.match;
+            this->transferTarget = name;
+        }
+    }
+    if (!member.empty() && member != this->options.self && this->isVoter(member)) {
+        this->transferTarget = std::move(member);
+    }
+    this->transferElapsed = 0;
+    this->finishTransfer();
+    return this->isHandingOver();
+}
+
+void Raft::finishTransfer()
+{
+    const auto found = this->members.find(this->transferTarget);
+    if (!this->isHandingOver() || found == this->members.end() || found->second.match < this->entries.lastIndex()) {
+        return;
+    }
+    this->send(this->message(Wire::RAFT_KIND_TIMEOUT_NOW, this->transferTarget));
+}
+
+RaftSnapshot Raft::compact(std::uint64_t index, std::shared_ptr<const std::string> data, std::uint64_t keep)
+{
+    RaftSnapshot snapshot{
+        .index = index,
+        .term = this->entries.term(index),
+        .membership = this->entries.membershipAt(index),
+        .data = std::move(data),
+    };
+    this->entries.compact(snapshot, index > keep ? index - keep + 1 : 1);
+    return snapshot;
+}
+
+// ---- output ----
+
+RaftOutput Raft::take()
+{
+    RaftOutput output;
+    if (this->currentRole == RaftRole::Leader) {
+        const bool newRound = std::any_of(this->pendingReads.begin(), this->pendingReads.end(), [this](const PendingRead &read) {
+            return read.round > this->round;
+        });
+        if (newRound) {
+            ++this->round;
+            this->sendHeartbeats();
+        }
+        this->sendDueAppends();
+    }
+    if (this->hardState != this->syncedState) {
+        output.hardState = this->hardState;
+    }
+    output.snapshot = std::exchange(this->toInstall, std::nullopt);
+    output.entries = this->entries.slice(this->syncedIndex + 1, this->entries.lastIndex(), SIZE_MAX);
+    const std::uint64_t applicable = std::min(this->commit, this->syncedIndex);
+    if (applicable > this->handedOut) {
+        output.committed = this->entries.slice(this->handedOut + 1, applicable, SIZE_MAX);
+        this->handedOut = applicable;
+    }
+    if (this->currentRole == RaftRole::Leader) {
+        this->confirmReads();
+    }
+    output.reads = std::exchange(this->endedReads, {});
+    output.early = std::exchange(this->early, {});
+    output.messages = std::exchange(this->late, {});
+    if (output.hardState) {
+        // Even an append must not show a term that could be forgotten.
+        std::move(output.early.begin(), output.early.end(), std::back_inserter(output.messages));
+        output.early.clear();
+    }
+    return output;
+}
+
+void Raft::synced()
+{
+    this->syncedState = this->hardState;
+    this->syncedIndex = this->entries.lastIndex();
+    if (this->currentRole == RaftRole::Leader) {
+        this->advanceCommit();
+    }
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/State/RaftLog.cpp
@@ -0,0 +1,151 @@
+#include "RaftLog.h"
+
+#include <cassert>
+
+namespace Apricothead {
+
+RaftLog::RaftLog(RaftStored stored)
+{
+    if (stored.snapshot) {
+        this->newest = std::move(*stored.snapshot);
+    }
+    this->memberships.emplace_back(this->newest.index, this->newest.membership);
+    this->baseIndex = stored.entries.empty() ? this->newest.index : stored.entries.front().index() - 1;
+    this->baseTerm = stored.entries.empty() ? this->newest.term : stored.baseTerm;
+    if (this->baseIndex == this->newest.index) {
+        this->baseTerm = this->newest.term;
+    }
+    for (Wire::LogEntry &entry : stored.entries) {
+        this->append(std::move(entry));
+    }
+}
+
+std::uint64_t RaftLog::firstIndex() const
+{
+    return this->baseIndex + 1;
+}
+
+std::uint64_t RaftLog::lastIndex() const
+{
+    return this->baseIndex + this->entries.size();
+}
+
+std::uint64_t RaftLog::lastTerm() const
+{
+    return this->term(this->lastIndex());
+}
+
+std::uint64_t RaftLog::term(std::uint64_t index) const
+{
+    if (index == this->baseIndex) {
+        return this->baseTerm;
+    }
+    if (index < this->baseIndex || index > this->lastIndex()) {
+        return 0;
+    }
+    return this->entry(index).term();
+}
+
+bool RaftLog::matches(std::uint64_t index, std::uint64_t term) const
+{
+    return index >= this->baseIndex && index <= this->lastIndex() && this->term(index) == term;
+}
+
+const Wire::LogEntry &RaftLog::entry(std::uint64_t index) const
+{
+    assert(index > this->baseIndex && index <= this->lastIndex());
+    return this->entries[index - this->baseIndex - 1];
+}
+
+std::vector<Wire::LogEntry> RaftLog::slice(std::uint64_t first, std::uint64_t last, std::size_t maxBytes) const
+{
+    std::vector<Wire::LogEntry> result;
+    std::size_t bytes = 0;
+    for (std::uint64_t index = first; index <= last; ++index) {
+        const Wire::LogEntry &next = this->entry(index);
+        bytes += next.data().size();
+        if (!result.empty() && bytes > maxBytes) {
+            break;
+        }
+        result.push_back(next);
+    }
+    return result;
+}
+
+void RaftLog::append(Wire::LogEntry entry)
+{
+    assert(entry.index() == this->lastIndex() + 1);
+    this->noteMembership(entry);
+    this->entries.push_back(std::move(entry));
+}
+
+void RaftLog::noteMembership(const Wire::LogEntry &entry)
+{
+    if (entry.kind() != Wire::ENTRY_KIND_MEMBERSHIP || entry.index() <= this->newest.index) {
+        return;
+    }
+    Wire::Membership membership;
+    membership.ParseFromString(entry.data());
+    this->memberships.emplace_back(entry.index(), std::move(membership));
+}
+
+void RaftLog::truncateFrom(std::uint64_t first)
+{
+    assert(first > this->baseIndex && first > this->newest.index);
+    while (this->lastIndex() >= first) {
+        this->entries.pop_back();
+    }
+    while (this->memberships.size() > 1 && this->memberships.back().first >= first) {
+        this->memberships.pop_back();
+    }
+}
+
+void RaftLog::compact(RaftSnapshot snapshot, std::uint64_t firstKept)
+{
+    while (this->firstIndex() < firstKept && !this->entries.empty()) {
+        this->baseTerm = this->entries.front().term();
+        ++this->baseIndex;
+        this->entries.pop_front();
+    }
+    while (this->memberships.size() > 1 && this->memberships[1].first <= snapshot.index) {
+        this->memberships.erase(this->memberships.begin());
+    }
+    this->memberships.front() = {snapshot.index, snapshot.membership};
+    this->newest = std::move(snapshot);
+}
+
+void RaftLog::restore(RaftSnapshot snapshot)
+{
+    this->entries.clear();
+    this->baseIndex = snapshot.index;
+    this->baseTerm = snapshot.term;
+    this->memberships.assign(1, {snapshot.index, snapshot.membership});
+    this->newest = std::move(snapshot);
+}
+
+const RaftSnapshot &RaftLog::snapshot() const
+{
+    return this->newest;
+}
+
+const Wire::Membership &RaftLog::membership() const
+{
+    return this->memberships.back().second;
+}
+
+std::uint64_t RaftLog::membershipIndex() const
+{
+    return this->memberships.back().first;
+}
+
+const Wire::Membership &RaftLog::membershipAt(std::uint64_t index) const
+{
+    for (auto found = this->memberships.rbegin(); found != this->memberships.rend(); ++found) {
+        if (found->first <= index) {
+            return found->second;
+        }
+    }
+    return this->memberships.front().second;
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/State/RaftTypes.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "../Protocol/Messages.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Apricothead {
+
+/** \class RaftHardState
+ * \ingroup State_Module
+ * \brief What a replica must remember across restarts beside its log.
+ */
+struct RaftHardState {
+    std::uint64_t term = 0;
+    /** Replica voted for in \c term, empty when none. */
+    std::string vote;
+
+    bool operator==(const RaftHardState &) const = default;
+};
+
+/** \class RaftSnapshot
+ * \ingroup State_Module
+ * \brief The state after the entry at \c index, with the membership in force there.
+ */
+struct RaftSnapshot {
+    std::uint64_t index = 0;
+    std::uint64_t term = 0;
+    Wire::Membership membership;
+    std::shared_ptr<const std::string> data;
+};
+
+/** \class RaftStored
+ * \ingroup State_Module
+ * \brief All that a data folder holds of one group.
+ */
+struct RaftStored {
+    RaftHardState hardState;
+    std::optional<RaftSnapshot> snapshot;
+    /** Term of the entry before the first one; 0 when the log starts at index 1. */
+    std::uint64_t baseTerm = 0;
+    /** Without gaps; the first one follows the snapshot or lies before it. */
+    std::vector<Wire::LogEntry> entries;
+};
+
+/** \class RaftRead
+ * \ingroup State_Module
+ * \brief The end of a read index round: the state may be read now, or leadership was lost.
+ */
+struct RaftRead {
+    std::uint64_t id = 0;
+    bool confirmed = false;
+
+    bool operator==(const RaftRead &) const = default;
+};
+
+/** \class RaftOutput
+ * \ingroup State_Module
+ * \brief What the caller of Raft::take() has to do, in the order of the members.
+ */
+struct RaftOutput {
+    /** To be sent at once. */
+    std::vector<Wire::RaftMessage> early;
+    /** To be synced. The snapshot replaces the log; the entries replace the log from their first index on. */
+    std::optional<RaftHardState> hardState;
+    std::optional<RaftSnapshot> snapshot;
+    std::vector<Wire::LogEntry> entries;
+    /** To be sent after the sync only. */
+    std::vector<Wire::RaftMessage> messages;
+    /** To be applied in order, after the snapshot if there is one. */
+    std::vector<Wire::LogEntry> committed;
+    /** To be answered after \c committed has been applied. */
+    std::vector<RaftRead> reads;
+
+    bool needsSync() const
+    {
+        return this->hardState || this->snapshot || !this->entries.empty();
+    }
+
+    bool empty() const
+    {
+        return !this->needsSync() && this->early.empty() && this->messages.empty() && this->committed.empty() && this->reads.empty();
+    }
+};
+
+} // namespace Apricothead
