--- /dev/null
+++ b/Apricothead/src/Coordination/EndpointTracker.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include "RoutingTable.h"
+
+#include <set>
+
+namespace Apricothead {
+
+/** \class EndpointTrackerOptions
+ * \ingroup Coordination_Module
+ * \brief When an endpoint counts as silent or as an outlier, and how it comes back.
+ */
+struct EndpointTrackerOptions {
+    /** No report for this long: not a candidate. */
+    double silenceMs = 3000;
+    /** At most this share of the endpoints is ejected at a time; one may always be, when there are two or more. */
+    double ejectedShare = 0.3;
+    unsigned consecutiveFailures = 5;
+    double errorShare = 0.4;
+    /** Ejected when its pace is this many times that of the median endpoint. */
+    double slowFactor = 4;
+    /** Ejected when its oldest run awaits the first token this many times longer than the median moving average, and at least overdueMs. */
+    double overdueFactor = 8;
+    double overdueMs = 5000;
+    unsigned leastSamples = 6;
+    double firstEjectionMs = 5000;
+    double longestEjectionMs = 120000;
+    /** Time over which the warmth of a new or returned endpoint rises from 0 to 1. */
+    double slowStartMs = 5000;
+};
+
+/** \enum RunEnd
+ * \ingroup Coordination_Module
+ * \brief How a run ended, as far as the endpoint's health is concerned.
+ */
+enum class RunEnd {
+    Whole,
+    /** Failed, cut or lost: counts against the endpoint. */
+    Broken,
+    /** Cancelled, or refused as full or leaving: says nothing of its health. */
+    Neutral,
+};
+
+/** \class RunTicket
+ * \ingroup Coordination_Module
+ * \brief A run that EndpointTracker was told of; handed back as it goes on.
+ */
+struct RunTicket {
+    std::string endpoint;
+    std::uint64_t incarnation = 0;
+    double startedMs = 0;
+    double ordinaryMs = 0;
+    bool awaiting = true;
+
+    bool operator==(const RunTicket &) const = default;
+};
+
+/** \class LoadReading
+ * \ingroup Coordination_Module
+ * \brief One load report of an endpoint.
+ */
+struct LoadReading {
+    unsigned running = 0;
+    unsigned queued = 0;
+    unsigned capacity = 1;
+    bool leaving = false;
+    bool healthy = true;
+    /** How old the reading was when it arrived. */
+    double ageMs = 0;
+
+    bool operator==(const LoadReading &) const = default;
+};
+
+/** \class EjectionChange
+ * \ingroup Coordination_Module
+ * \brief An endpoint that was ejected or came back, with the reason for the log.
+ */
+struct EjectionChange {
+    std::string endpoint;
+    bool ejected = false;
+    /** \c consecutive-failures, \c error-share, \c slow, \c first-token-overdue, \c silent, \c heard-again or \c ejection-over. */
+    std::string reason;
+    double value = 0;
+
+    bool operator==(const EjectionChange &) const = default;
+};
+
+/** \class EndpointTracker
+ * \ingroup Coordination_Module
+ * \brief Keeps an entry's RoutingTable up to date from what the entry sees, and ejects outliers.
+ *
+ * No I/O and no clock: each call gets the reading of one monotonic clock in ms.
+ */
+class EndpointTracker
+{
+public:
+    explicit EndpointTracker(EndpointTrackerOptions options = {});
+
+    /** Adds or updates an endpoint. A new incarnation starts with no history and cold. */
+    void
+    announce(const std::string &endpoint, const std::string &availabilityZone, std::uint64_t incarnation, const std::vector<ServedModel> &served, double nowMs);
+    void remove(const std::string &endpoint);
+    /** The directory or the operator says that it is leaving or drained. */
+    void setLeaving(const std::string &endpoint, bool leaving);
+    void setConnected(const std::string &endpoint, bool connected, double nowMs);
+    void report(const std::string &endpoint, const LoadReading &reading, double nowMs);
+
+    /** A run was dispatched by \a decision. */
+    RunTicket started(const RoutingDecision &decision, double nowMs);
+    void firstToken(RunTicket &ticket, double nowMs);
+    void finished(const RunTicket &ticket, RunEnd end, double nowMs);
+
+    /** To be called a few times a second. \returns what was ejected or came back */
+    std::vector<EjectionChange> tick(double nowMs);
+
+    const RoutingTable &table() const;
+
+private:
+    struct History {
+        std::multiset<double> awaiting;
+        std::multiset<double> sinceReport;
+        unsigned failuresInRow = 0;
+        unsigned samples = 0;
+        unsigned ejections = 0;
+        double heardMs = 0;
+        double warmFromMs = 0;
+        double ejectedUntilMs = 0;
+        bool silent = false;
+    };
+    struct Outlier {
+        std::string endpoint;
+        std::string reason;
+        double value = 0;
+        double badness = 0;
+    };
+
+    History *historyOf(const RunTicket &ticket, EndpointView *&view);
+    void refreshAwaiting(EndpointView &view, const History &history) const;
+    void endSilenceAndEjection(EndpointView &view, History &history, double nowMs, std::vector<EjectionChange> &changes) const;
+    std::vector<Outlier> outliers(double nowMs) const;
+    double median(double EndpointView::*field) const;
+
+    EndpointTrackerOptions options;
+    RoutingTable known;
+    std::unordered_map<std::string, History> histories;
+};
+
+} // namespace Apricothead
--- a/Apricothead/src/Coordination/Routing.cpp
+++ b/Apricothead/src/Coordination/Routing.cpp
@@ -64,6 +64,23 @@
     return std::clamp(share, 0.0, 1.0);
 }
 
+/** \returns the predicted time to first token for an endpoint of ordinary pace, in ms */
+double ordinaryFirstTokenMs(const EndpointView &view, const RoutingRequest &request, double share)
+{
+    const double trust = std::exp(-reportAge(view, request) / ReportRelaxationMs);
+    const double others = std::max(1U, request.entries);
+    const double capacity = std::max(1U, view.capacity);
+    // A report's queue has partly drained since; what this entry sent afterwards stands for each entry that sees the same report.
+    const double sinceReport = (1 + (others - 1) * (1 - trust)) * view.ownSinceReport;
+    const double queued = std::max<double>(view.ownAwaiting, trust * view.reportedQueued + sinceReport);
+    const double running = std::max<double>(view.ownRunning, view.reportedRunning + view.ownSinceReport);
+    const double runMs = view.runMs > 0 ? view.runMs : TypicalRunMs;
+    const double overflow = std::max(0.0, running + trust * view.reportedQueued + 1 - capacity);
+    const double slotWait = overflow * runMs / capacity;
+    const double prefill = request.promptTokens * (1 - share) * PrefillMsPerToken;
+    return BaseFirstTokenMs * (1 + running / capacity) + prefill + queued * TypicalPromptMs + slotWait;
+}
+
 struct Scored {
     const EndpointView *view = nullptr;
     int tier = std::numeric_limits<int>::max();
@@ -120,6 +137,7 @@
         decision.endpoint = first.view->endpoint;
         decision.incarnation = first.view->incarnation;
         decision.predictedMs = first.ms;
+        decision.ordinaryMs = ordinaryFirstTokenMs(*first.view, this->request, first.share);
         decision.reason = reasonOf(first);
         for (std::size_t i = 1; i < this->count; ++i) {
             char score[32];
@@ -195,19 +213,7 @@
 
 double predictFirstTokenMs(const EndpointView &view, const RoutingRequest &request, double prefixShare)
 {
-    const double age = reportAge(view, request);
-    const double trust = std::exp(-age / ReportRelaxationMs);
-    const double others = std::max(1U, request.entries);
-    // A report's queue has partly drained since; what this entry sent afterwards is added for each entry that sees the same report.
-    const double queued = std::max<double>(view.ownAwaiting, trust * view.reportedQueued + (1 + (others - 1) * (1 - trust)) * view.ownSinceReport);
-    const double running = std::max<double>(view.ownRunning, view.reportedRunning + view.ownSinceReport);
-    const double runMs = view.runMs > 0 ? view.runMs : TypicalRunMs;
-    const double overflow = std::max(0.0, running + trust * view.reportedQueued + 1 - std::max(1U, view.capacity));
-    const double slotWait = overflow * runMs / std::max(1U, view.capacity);
-    const double prefill = request.promptTokens * (1 - prefixShare) * PrefillMsPerToken;
-    const double occupancy = running / std::max(1U, view.capacity);
-    double predicted = BaseFirstTokenMs * (1 + occupancy) + prefill + queued * TypicalPromptMs + slotWait;
-    predicted *= std::max(0.1, view.pace);
+    double predicted = ordinaryFirstTokenMs(view, request, prefixShare) * std::max(0.1, view.pace);
     // A first token that is overdue now says more than any average.
     if (view.oldestAwaitingSinceMs > 0 && request.nowMs > 0) {
         predicted = std::max(predicted, request.nowMs - view.oldestAwaitingSinceMs);
--- a/Apricothead/src/Coordination/Routing.h
+++ b/Apricothead/src/Coordination/Routing.h
@@ -95,6 +95,8 @@
     /** Kebab-case code, as \c least-predicted-wait or \c no-healthy-endpoint. */
     std::string reason;
     double predictedMs = 0;
+    /** The prediction for an endpoint of ordinary pace without penalties; EndpointTracker learns the pace from it. */
+    double ordinaryMs = 0;
     /** Scores of up to three alternatives, as \c ep-2=140,ep-5=180. */
     std::string alternatives;
 
