Limits: shared token buckets, fair queue with early refusal, dispatch window

Cause: an organisation's limits hold over all entries, and overload must be refused early, with a true not-run, at the expense of those above their part. Ruled out: one message for each request to a central counter; a fixed split among entries (an organisation that uses one entry would get a third of its limit). Change: SharedLimiter (split by demand digests, equal split when nobody is heard), AdmissionQueue (start-time fair queueing, two priorities, predicted waits), dispatchWindow (runs under way follow the usable capacity).

--- /dev/null
+++ b/Apricothead/src/Coordination/AdmissionQueue.cpp
@@ -0,0 +1,229 @@
+#include "AdmissionQueue.h"
+
+#include <algorithm>
+
+namespace Apricothead {
+
+namespace {
+
+constexpr double MsPerSecond = 1000;
+constexpr double LeastRetryAfterMs = 1000;
+constexpr double MostRetryAfterMs = 30000;
+constexpr double DrainWeight = 0.4;
+
+} // namespace
+
+AdmissionQueue::AdmissionQueue(AdmissionQueueOptions bounds) : options(bounds), drainRate(bounds.drainPerSecond)
+{ }
+
+AdmissionQueue::Lane &AdmissionQueue::laneOf(Wire::Priority priority)
+{
+    return priority == Wire::PRIORITY_DRAFT ? this->draft : this->interactive;
+}
+
+const AdmissionQueue::Lane &AdmissionQueue::laneOf(Wire::Priority priority) const
+{
+    return priority == Wire::PRIORITY_DRAFT ? this->draft : this->interactive;
+}
+
+double AdmissionQueue::laneShare(const Lane &lane) const
+{
+    const double draftPart = 1.0 / this->options.draftTurn;
+    if (&lane == &this->draft) {
+        return this->interactive.count == 0 ? 1 : draftPart;
+    }
+    return this->draft.count == 0 ? 1 : 1 - draftPart;
+}
+
+double AdmissionQueue::predictedWaitMs(const WaitingRequest &request) const
+{
+    const Lane &lane = this->laneOf(request.priority);
+    const auto flow = lane.flows.find(request.organisation);
+    const double own = flow == lane.flows.end() ? 0 : flow->second.backlog;
+    // Only organisations that wait share the drain; each waits for its own backlog at its part of the rate.
+    double weights = request.weight;
+    for (const auto &[tag, organisation] : lane.order) {
+        weights += organisation == request.organisation ? 0 : lane.flows.at(organisation).weight;
+    }
+    const double fair = own * weights / request.weight;
+    const double ahead = std::min(fair, lane.backlog);
+    return ahead / (std::max(0.001, this->drainRate) * this->laneShare(lane)) * MsPerSecond;
+}
+
+double AdmissionQueue::retryAfter(const WaitingRequest &request) const
+{
+    return std::clamp(this->predictedWaitMs(request), LeastRetryAfterMs, MostRetryAfterMs);
+}
+
+std::vector<QueueRefusal> AdmissionQueue::offer(const WaitingRequest &request, double nowMs)
+{
+    Lane &lane = this->laneOf(request.priority);
+    const double time = request.startByMs - nowMs;
+    if (this->predictedWaitMs(request) > time * this->options.waitPart) {
+        return {{request.id, request.organisation, "wait-exceeds-deadline", this->retryAfter(request)}};
+    }
+    std::vector<QueueRefusal> refusals;
+    if (this->size() >= this->options.waiting) {
+        const std::optional<QueueRefusal> displaced = this->displace(lane, request);
+        if (!displaced) {
+            return {{request.id, request.organisation, "queue-full", this->retryAfter(request)}};
+        }
+        refusals.push_back(*displaced);
+    }
+    this->push(lane, request);
+    return refusals;
+}
+
+void AdmissionQueue::push(Lane &lane, const WaitingRequest &request)
+{
+    Flow &flow = lane.flows[request.organisation];
+    flow.weight = std::max(0.001, request.weight);
+    const double start = std::max(lane.virtualTime, flow.finishTag);
+    flow.finishTag = start + request.cost / flow.weight;
+    if (flow.queue.empty()) {
+        lane.order.emplace(start, request.organisation);
+    }
+    flow.queue.push_back({.request = request, .startTag = start});
+    flow.backlog += request.cost;
+    lane.backlog += request.cost;
+    ++lane.count;
+}
+
+std::optional<QueueRefusal> AdmissionQueue::displace(Lane &lane, const WaitingRequest &request)
+{
+    // The flow with the longest backlog for its weight gives up its newest, if it is longer than that of the one offered.
+    const auto load = [](const Flow &flow) {
+        return flow.backlog / flow.weight;
+    };
+    const auto longest = std::max_element(lane.flows.begin(), lane.flows.end(), [&](const auto &a, const auto &b) {
+        return load(a.second) < load(b.second);
+    });
+    if (longest == lane.flows.end() || longest->second.queue.empty() || longest->first == request.organisation) {
+        return std::nullopt;
+    }
+    const auto own = lane.flows.find(request.organisation);
+    const double ownLoad = (own == lane.flows.end() ? 0 : own->second.backlog) + request.cost;
+    if (load(longest->second) <= ownLoad / std::max(0.001, request.weight)) {
+        return std::nullopt;
+    }
+    Flow &flow = longest->second;
+    const Waiting dropped = flow.queue.back();
+    flow.queue.pop_back();
+    flow.backlog -= dropped.request.cost;
+    flow.finishTag = dropped.startTag;
+    lane.backlog -= dropped.request.cost;
+    --lane.count;
+    if (flow.queue.empty()) {
+        lane.order.erase({dropped.startTag, longest->first});
+    }
+    return QueueRefusal{dropped.request.id, dropped.request.organisation, "displaced", this->retryAfter(dropped.request)};
+}
+
+AdmissionQueue::Waiting AdmissionQueue::popFront(Lane &lane, const std::string &organisation)
+{
+    Flow &flow = lane.flows.at(organisation);
+    Waiting first = flow.queue.front();
+    lane.order.erase({first.startTag, organisation});
+    flow.queue.pop_front();
+    flow.backlog -= first.request.cost;
+    lane.backlog -= first.request.cost;
+    --lane.count;
+    if (!flow.queue.empty()) {
+        lane.order.emplace(flow.queue.front().startTag, organisation);
+    }
+    return first;
+}
+
+void AdmissionQueue::forgetIdle(Lane &lane, const std::string &organisation)
+{
+    const auto flow = lane.flows.find(organisation);
+    if (flow != lane.flows.end() && flow->second.queue.empty() && flow->second.finishTag <= lane.virtualTime) {
+        lane.flows.erase(flow);
+    }
+}
+
+std::optional<WaitingRequest> AdmissionQueue::next(double nowMs)
+{
+    if (this->size() == 0) {
+        // Time without a backlog says nothing of how fast the pool drains.
+        this->drainSinceMs = 0;
+        this->drainedCost = 0;
+        return std::nullopt;
+    }
+    const bool draftsTurn = this->interactive.count == 0 || this->interactiveInRow + 1 >= this->options.draftTurn;
+    Lane &lane = draftsTurn && this->draft.count > 0 ? this->draft : this->interactive;
+    this->interactiveInRow = &lane == &this->draft ? 0 : std::min(this->interactiveInRow + 1, this->options.draftTurn);
+    const std::string organisation = lane.order.begin()->second;
+    const Waiting first = this->popFront(lane, organisation);
+    lane.virtualTime = std::max(lane.virtualTime, first.startTag);
+    this->forgetIdle(lane, organisation);
+    this->noteDrain(first.request.cost, nowMs);
+    return first.request;
+}
+
+void AdmissionQueue::noteDrain(double cost, double nowMs)
+{
+    if (this->drainSinceMs <= 0) {
+        this->drainSinceMs = nowMs;
+        this->drainedCost = 0;
+        return;
+    }
+    this->drainedCost += cost;
+    const double span = nowMs - this->drainSinceMs;
+    if (span < this->options.drainMs * DrainWeight) {
+        return;
+    }
+    const double rate = this->drainedCost / span * MsPerSecond;
+    this->drainRate += DrainWeight * (rate - this->drainRate);
+    this->drainSinceMs = nowMs;
+    this->drainedCost = 0;
+}
+
+std::vector<QueueRefusal> AdmissionQueue::expire(double nowMs)
+{
+    std::vector<QueueRefusal> refusals;
+    for (Lane *lane : {&this->interactive, &this->draft}) {
+        std::vector<std::string> organisations;
+        for (const auto &[tag, organisation] : lane->order) {
+            organisations.push_back(organisation);
+        }
+        for (const std::string &organisation : organisations) {
+            while (!lane->flows.at(organisation).queue.empty() && lane->flows.at(organisation).queue.front().request.startByMs < nowMs) {
+                const Waiting late = this->popFront(*lane, organisation);
+                refusals.push_back({late.request.id, organisation, "deadline-passed", this->retryAfter(late.request)});
+            }
+        }
+    }
+    return refusals;
+}
+
+bool AdmissionQueue::cancel(const std::string &id)
+{
+    for (Lane *lane : {&this->interactive, &this->draft}) {
+        for (auto &[organisation, flow] : lane->flows) {
+            const auto found = std::find_if(flow.queue.begin(), flow.queue.end(), [&id](const Waiting &waiting) {
+                return waiting.request.id == id;
+            });
+            if (found == flow.queue.end()) {
+                continue;
+            }
+            lane->order.erase({flow.queue.front().startTag, organisation});
+            flow.backlog -= found->request.cost;
+            lane->backlog -= found->request.cost;
+            --lane->count;
+            flow.queue.erase(found);
+            if (!flow.queue.empty()) {
+                lane->order.emplace(flow.queue.front().startTag, organisation);
+            }
+            return true;
+        }
+    }
+    return false;
+}
+
+std::size_t AdmissionQueue::size() const
+{
+    return this->interactive.count + this->draft.count;
+}
+
+} // namespace Apricothead
--- a/Apricothead/src/Coordination/RoutingTable.cpp
+++ b/Apricothead/src/Coordination/RoutingTable.cpp
@@ -114,6 +114,23 @@
     }));
 }
 
+unsigned RoutingTable::usableCapacity(const std::string &model, const std::string &version) const
+{
+    const auto listed = this->slotsByVersion.find(versionKey(model, version));
+    if (listed == this->slotsByVersion.end()) {
+        return 0;
+    }
+    unsigned capacity = 0;
+    for (const std::uint32_t slot : listed->second) {
+        const EndpointView &view = this->slots[slot];
+        if (!view.healthy || !view.connected || view.leaving || view.ejected) {
+            continue;
+        }
+        capacity += view.capacity;
+    }
+    return capacity;
+}
+
 const std::vector<EndpointView> &RoutingTable::views() const
 {
     return this->slots;
--- a/Apricothead/src/Coordination/RoutingTable.h
+++ b/Apricothead/src/Coordination/RoutingTable.h
@@ -43,6 +43,9 @@
     /** \returns how many endpoints serve the version and may take work now */
     std::size_t usableCount(const std::string &model, const std::string &version) const;
 
+    /** \returns the sum of the capacities of those that are not ejected either */
+    unsigned usableCapacity(const std::string &model, const std::string &version) const;
+
     /** \returns all views, for walks over the table; removed ones have an empty id */
     const std::vector<EndpointView> &views() const;
 
--- /dev/null
+++ b/Apricothead/src/Coordination/SharedLimiter.cpp
@@ -0,0 +1,159 @@
+#include "SharedLimiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Apricothead {
+
+namespace {
+
+constexpr double MsPerSecond = 1000;
+/** The split is computed anew at most this often. */
+constexpr double ShareIntervalMs = 250;
+constexpr double ConcurrencyRetryMs = 1000;
+
+} // namespace
+
+SharedLimiter::SharedLimiter(SharedLimiterOptions bounds) : options(std::move(bounds))
+{ }
+
+void SharedLimiter::configure(const std::string &organisation, const Wire::Limits &limits, double nowMs)
+{
+    const bool isNew = !this->accounts.contains(organisation);
+    Account &account = this->accounts[organisation];
+    account.limits = limits;
+    this->applyShare(organisation, account, nowMs, isNew);
+}
+
+void SharedLimiter::setEntries(unsigned entries)
+{
+    this->liveEntries = std::max(1U, entries);
+}
+
+LimitDecision SharedLimiter::admit(const std::string &organisation, double tokens, double nowMs)
+{
+    const auto found = this->accounts.find(organisation);
+    if (found == this->accounts.end()) {
+        return {.allowed = true, .reason = "within-limits"};
+    }
+    Account &account = found->second;
+    this->noteDemand(account, tokens, nowMs);
+    if (nowMs - account.sharedAtMs > ShareIntervalMs) {
+        this->applyShare(organisation, account, nowMs, false);
+    }
+    const Wire::Limits &limits = account.limits;
+    if (limits.concurrent_requests() > 0) {
+        const double part = std::ceil(limits.concurrent_requests() * this->share(organisation, nowMs));
+        if (account.running >= std::max(1.0, part)) {
+            return {.reason = "organisation-concurrency-limit", .retryAfterMs = ConcurrencyRetryMs};
+        }
+    }
+    const double requestWait = limits.requests_per_second() > 0 ? account.requests.waitMs(1, nowMs) : 0;
+    if (requestWait > 0) {
+        return {.reason = "organisation-request-limit", .retryAfterMs = requestWait};
+    }
+    const double tokenWait = limits.tokens_per_second() > 0 ? account.tokens.waitMs(tokens, nowMs) : 0;
+    if (tokenWait > 0) {
+        return {.reason = "organisation-token-limit", .retryAfterMs = tokenWait};
+    }
+    account.requests.take(1, nowMs);
+    account.tokens.take(tokens, nowMs);
+    ++account.running;
+    return {.allowed = true, .reason = "within-limits"};
+}
+
+void SharedLimiter::finished(const std::string &organisation, double estimatedTokens, double actualTokens, bool ran, double nowMs)
+{
+    const auto found = this->accounts.find(organisation);
+    if (found == this->accounts.end()) {
+        return;
+    }
+    Account &account = found->second;
+    account.running -= std::min(1U, account.running);
+    account.tokens.take((ran ? actualTokens : 0) - estimatedTokens, nowMs);
+    if (!ran) {
+        account.requests.take(-1, nowMs);
+    }
+}
+
+void SharedLimiter::noteDemand(Account &account, double tokens, double nowMs) const
+{
+    const double kept = std::exp(-std::max(0.0, nowMs - account.ratedAtMs) / this->options.demandMs);
+    account.requestRate = account.requestRate * kept + MsPerSecond / this->options.demandMs;
+    account.tokenRate = account.tokenRate * kept + tokens * MsPerSecond / this->options.demandMs;
+    account.ratedAtMs = nowMs;
+}
+
+std::vector<Wire::OrganisationDemand> SharedLimiter::digest(double nowMs)
+{
+    std::vector<Wire::OrganisationDemand> demands;
+    for (const auto &[organisation, account] : this->accounts) {
+        const double kept = std::exp(-std::max(0.0, nowMs - account.ratedAtMs) / this->options.demandMs);
+        if (account.requestRate * kept < 0.01) {
+            continue;
+        }
+        Wire::OrganisationDemand &demand = demands.emplace_back();
+        demand.set_organisation(organisation);
+        demand.set_requests_per_second(account.requestRate * kept);
+        demand.set_tokens_per_second(account.tokenRate * kept);
+    }
+    return demands;
+}
+
+void SharedLimiter::receive(const std::string &entry, const std::vector<Wire::OrganisationDemand> &demands, double nowMs)
+{
+    if (entry == this->options.entry) {
+        return;
+    }
+    Peer &peer = this->peers[entry];
+    peer.heardMs = nowMs;
+    peer.requestRates.clear();
+    for (const Wire::OrganisationDemand &demand : demands) {
+        peer.requestRates[demand.organisation()] = demand.requests_per_second();
+    }
+}
+
+double SharedLimiter::share(const std::string &organisation, double nowMs) const
+{
+    double own = 0;
+    const auto found = this->accounts.find(organisation);
+    if (found != this->accounts.end()) {
+        const Account &account = found->second;
+        own = account.requestRate * std::exp(-std::max(0.0, nowMs - account.ratedAtMs) / this->options.demandMs);
+    }
+    double others = 0;
+    unsigned heard = 1;
+    for (const auto &[entry, peer] : this->peers) {
+        if (nowMs - peer.heardMs > this->options.digestValidMs) {
+            continue;
+        }
+        ++heard;
+        const auto rate = peer.requestRates.find(organisation);
+        others += rate == peer.requestRates.end() ? 0 : rate->second;
+    }
+    const unsigned entries = std::max(heard, this->liveEntries);
+    const double even = 1.0 / entries;
+    // Entries not heard of keep an equal part each; the rest is split by demand.
+    const double known = heard * even;
+    const double byDemand = own + others > 0 ? known * own / (own + others) : even;
+    return this->options.evenPart * even + (1 - this->options.evenPart) * byDemand;
+}
+
+void SharedLimiter::applyShare(const std::string &organisation, Account &account, double nowMs, bool startsFull) const
+{
+    const double part = this->share(organisation, nowMs);
+    const double requestRate = account.limits.requests_per_second() * part;
+    const double tokenRate = account.limits.tokens_per_second() * part;
+    const double requestBurst = std::max(1.0, requestRate * this->options.burstSeconds);
+    const double tokenBurst = tokenRate * this->options.burstSeconds;
+    account.sharedAtMs = nowMs;
+    if (startsFull) {
+        account.requests = TokenBucket(requestRate, requestBurst, nowMs);
+        account.tokens = TokenBucket(tokenRate, tokenBurst, nowMs);
+        return;
+    }
+    account.requests.setRate(requestRate, requestBurst, nowMs);
+    account.tokens.setRate(tokenRate, tokenBurst, nowMs);
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/test/limits.cpp
@@ -0,0 +1,227 @@
+#define BOOST_TEST_MODULE limits
+#include "main.h"
+
+#include <Apricothead/Coordination>
+
+#include <algorithm>
+
+using namespace Apricothead;
+
+namespace {
+
+Wire::Limits limits(double requests, double tokens, unsigned concurrent = 0)
+{
+    Wire::Limits made;
+    made.set_requests_per_second(requests);
+    made.set_tokens_per_second(tokens);
+    made.set_concurrent_requests(concurrent);
+    return made;
+}
+
+WaitingRequest waiting(const std::string &id, const std::string &organisation, Wire::Priority priority = Wire::PRIORITY_INTERACTIVE)
+{
+    return {.id = id, .organisation = organisation, .priority = priority, .arrivedMs = 0, .startByMs = 1e9};
+}
+
+/** Admissions in \a seconds when each of the limiters gets its number of requests a second. */
+unsigned admittedBy(std::vector<SharedLimiter *> limiters, const std::vector<double> &rates, double seconds, double fromMs)
+{
+    unsigned admitted = 0;
+    std::vector<double> due(limiters.size(), 0);
+    for (double now = fromMs; now < fromMs + seconds * 1000; now += 10) {
+        for (std::size_t i = 0; i < limiters.size(); ++i) {
+            due[i] += rates[i] / 100;
+            for (; due[i] >= 1; due[i] -= 1) {
+                if (limiters[i]->admit("willow", 10, now).allowed) {
+                    ++admitted;
+                    limiters[i]->finished("willow", 10, 10, true, now);
+                }
+            }
+        }
+        if (static_cast<long>(now) % 1000 != 0) {
+            continue;
+        }
+        for (std::size_t from = 0; from < limiters.size(); ++from) {
+            const std::vector<Wire::OrganisationDemand> digest = limiters[from]->digest(now);
+            for (SharedLimiter *limiter : limiters) {
+                limiter->receive("entry-" + std::to_string(from), digest, now);
+            }
+        }
+    }
+    return admitted;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aBucketRefillsAndDebtIsPaidFirst)
+{
+    TokenBucket bucket(10, 20, 0);
+    BOOST_TEST(bucket.waitMs(20, 0) == 0.0);
+    bucket.take(30, 0);
+    BOOST_TEST(bucket.waitMs(10, 0) == 2000.0);
+    BOOST_TEST(bucket.waitMs(10, 2000) == 0.0);
+    BOOST_TEST(bucket.level(60000) == 20.0);
+    bucket.take(-100, 60000);
+    BOOST_TEST(bucket.level(60000) == 20.0);
+}
+
+BOOST_AUTO_TEST_CASE(theEntriesTogetherKeepTheLimitWhateverTheSplit)
+{
+    for (const std::vector<double> &rates : {std::vector<double>{100, 100, 100}, std::vector<double>{300, 5, 5}, std::vector<double>{300, 0, 0}}) {
+        SharedLimiter a({.entry = "entry-0"});
+        SharedLimiter b({.entry = "entry-1"});
+        SharedLimiter c({.entry = "entry-2"});
+        for (SharedLimiter *limiter : {&a, &b, &c}) {
+            limiter->setEntries(3);
+            limiter->configure("willow", limits(30, 0), 0);
+        }
+        const unsigned warmUp = admittedBy({&a, &b, &c}, rates, 10, 0);
+        BOOST_TEST(warmUp <= 30 * 10 + 2 * 30 + 60);
+        const unsigned steady = admittedBy({&a, &b, &c}, rates, 20, 10000);
+        BOOST_TEST(steady <= 30 * 20 * 1.05 + 60);
+        // Borrowing: callers that use one entry only get most of the limit there.
+        BOOST_TEST(steady >= 30 * 20 * 0.8);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(anEntryThatHearsNobodyKeepsToItsEqualPart)
+{
+    SharedLimiter alone({.entry = "entry-0"});
+    alone.setEntries(3);
+    alone.configure("willow", limits(30, 0), 0);
+    BOOST_TEST(admittedBy({&alone}, {300}, 20, 0) <= 10 * 20 + 20);
+}
+
+BOOST_AUTO_TEST_CASE(refusalsNameTheLimitAndWhenToComeAgain)
+{
+    SharedLimiter limiter({.entry = "entry-0"});
+    limiter.configure("willow", limits(0, 100, 2), 0);
+    BOOST_TEST(limiter.admit("willow", 150, 0).allowed);
+    const LimitDecision tokens = limiter.admit("willow", 100, 0);
+    BOOST_TEST(tokens.reason == "organisation-token-limit");
+    BOOST_TEST(tokens.retryAfterMs == 500.0);
+    BOOST_TEST(limiter.admit("willow", 10, 0).allowed);
+    BOOST_TEST(limiter.admit("willow", 10, 0).reason == "organisation-concurrency-limit");
+    BOOST_TEST(limiter.admit("unlimited", 1e9, 0).allowed);
+}
+
+BOOST_AUTO_TEST_CASE(whatDidNotRunIsGivenBack)
+{
+    SharedLimiter limiter({.entry = "entry-0"});
+    limiter.configure("willow", limits(1, 100), 0);
+    for (int i = 0; i < 50; ++i) {
+        BOOST_TEST(limiter.admit("willow", 150, 0).allowed);
+        limiter.finished("willow", 150, 0, false, 0);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aFloodingOrganisationWaitsBehindItself)
+{
+    AdmissionQueue queue;
+    for (int i = 0; i < 100; ++i) {
+        queue.offer(waiting("flood-" + std::to_string(i), "flood"), 0);
+    }
+    queue.offer(waiting("small-1", "small"), 0);
+    queue.offer(waiting("small-2", "small"), 0);
+    std::vector<std::string> order;
+    for (int i = 0; i < 5; ++i) {
+        order.push_back(queue.next(10)->id);
+    }
+    BOOST_TEST(std::count(order.begin(), order.end(), "small-1") == 1);
+    BOOST_TEST(std::count(order.begin(), order.end(), "small-2") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(weightsAreKept)
+{
+    AdmissionQueue queue;
+    for (int i = 0; i < 100; ++i) {
+        queue.offer(waiting("light-" + std::to_string(i), "light"), 0);
+        WaitingRequest heavy = waiting("heavy-" + std::to_string(i), "heavy");
+        heavy.weight = 3;
+        queue.offer(heavy, 0);
+    }
+    unsigned heavy = 0;
+    for (int i = 0; i < 40; ++i) {
+        heavy += queue.next(10)->organisation == "heavy" ? 1 : 0;
+    }
+    BOOST_TEST(heavy >= 29U);
+    BOOST_TEST(heavy <= 31U);
+}
+
+BOOST_AUTO_TEST_CASE(interactiveGoesFirstAndDraftsDoNotStarve)
+{
+    AdmissionQueue queue;
+    for (int i = 0; i < 100; ++i) {
+        queue.offer(waiting("draft-" + std::to_string(i), "willow", Wire::PRIORITY_DRAFT), 0);
+        queue.offer(waiting("chat-" + std::to_string(i), "willow"), 0);
+    }
+    unsigned drafts = 0;
+    for (int i = 0; i < 50; ++i) {
+        drafts += queue.next(10)->priority == Wire::PRIORITY_DRAFT ? 1 : 0;
+    }
+    BOOST_TEST(drafts == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(whatCannotStartInTimeIsRefusedAtOnce)
+{
+    AdmissionQueue queue({.drainPerSecond = 10});
+    unsigned refused = 0;
+    for (int i = 0; i < 100; ++i) {
+        WaitingRequest request = waiting("r-" + std::to_string(i), "willow");
+        request.startByMs = 2000;
+        const std::vector<QueueRefusal> refusals = queue.offer(request, 0);
+        refused += static_cast<unsigned>(refusals.size());
+        for (const QueueRefusal &refusal : refusals) {
+            BOOST_TEST(refusal.reason == "wait-exceeds-deadline");
+            BOOST_TEST(refusal.retryAfterMs >= 1000);
+        }
+    }
+    BOOST_TEST(queue.size() == 17U);
+    BOOST_TEST(refused == 83U);
+    WaitingRequest other = waiting("other", "other");
+    other.startByMs = 2000;
+    BOOST_TEST(queue.offer(other, 0).empty());
+}
+
+BOOST_AUTO_TEST_CASE(deadlinesPassAndCallersLeave)
+{
+    AdmissionQueue queue;
+    WaitingRequest request = waiting("a", "willow");
+    request.startByMs = 100;
+    queue.offer(request, 0);
+    queue.offer(waiting("b", "willow"), 0);
+    queue.offer(waiting("c", "willow"), 0);
+    const std::vector<QueueRefusal> late = queue.expire(200);
+    BOOST_REQUIRE(late.size() == 1U);
+    BOOST_TEST(late.front().reason == "deadline-passed");
+    BOOST_TEST(queue.cancel("b"));
+    BOOST_TEST(!queue.cancel("b"));
+    BOOST_TEST(queue.next(200)->id == "c");
+    BOOST_TEST(!queue.next(200).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(aFullQueueGivesUpTheLongestBacklog)
+{
+    AdmissionQueue queue({.waiting = 10});
+    for (int i = 0; i < 10; ++i) {
+        queue.offer(waiting("flood-" + std::to_string(i), "flood"), 0);
+    }
+    const std::vector<QueueRefusal> displaced = queue.offer(waiting("small", "small"), 0);
+    BOOST_REQUIRE(displaced.size() == 1U);
+    BOOST_TEST(displaced.front().id == "flood-9");
+    BOOST_TEST(queue.offer(waiting("flood-x", "flood"), 0).front().reason == "queue-full");
+    BOOST_TEST(queue.size() == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(theWindowFollowsTheUsableCapacity)
+{
+    RoutingTable table;
+    for (const std::string id : {"a", "b", "c"}) {
+        table.announce(id, "z1", 1, {{"chat", "v1"}});
+        table.change(id)->capacity = 10;
+    }
+    BOOST_TEST(dispatchWindow(table, "chat", "v1", 0.5, {.fill = 1.0}) == 15U);
+    table.change("a")->connected = false;
+    BOOST_TEST(dispatchWindow(table, "chat", "v1", 0.5, {.fill = 1.0}) == 10U);
+    BOOST_TEST(dispatchWindow(table, "chat", "v2", 0.5) == 0U);
+}
