--- a/test/limits.cpp
+++ b/test/limits.cpp
@@ -124,6 +124,7 @@
     queue.offer(waiting("small-1", "small"), 0);
     queue.offer(waiting("small-2", "small"), 0);
     std::vector<std::string> order;
+    order.reserve(5);
     for (int i = 0; i < 5; ++i) {
         order.push_back(queue.next(10)->id);
     }
