--- /dev/null
+++ b/test/engineadapter.cpp
@@ -0,0 +1,252 @@
+#define BOOST_TEST_MODULE engineadapter
+#include "main.h"
+
+#include "support/Wait.h"
+
+#include <Apricothead/Coordination>
+#include <Apricothead/Protocol>
+
+#include <memory>
+#include <vector>
+
+using namespace Apricothead;
+using Apricothead::Test::runUntil;
+
+namespace {
+
+/** An engine that answers as the test says. */
+struct Fixture {
+    Fixture()
+        : server(loop, HttpServerOptions{.address = "127.0.0.1:0", .onRequest = [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
+                                             this->request = request;
+                                             this->answer(*reply);
+                                             this->reply = reply;
+                                         }})
+    {
+        this->settings.engineUrl = "http://" + this->server.boundAddress();
+        this->settings.engineConnect = std::chrono::milliseconds(500);
+        this->settings.engineSilence = std::chrono::milliseconds(300);
+    }
+
+    EngineResult run(const EngineAdapter &adapter)
+    {
+        Wire::Run run;
+        run.mutable_admission()->set_version("small-1");
+        run.mutable_payload()->set_method("POST");
+        run.mutable_payload()->set_path("/v1/chat/completions");
+        run.mutable_payload()->set_content_type("application/json");
+        run.mutable_payload()->set_body(R"({"model":"small","messages":[{"role":"user","content":"hi"}]})");
+        bool isDone = false;
+        EngineResult result;
+        this->chunks.clear();
+        const std::unique_ptr<EngineRun> engineRun = adapter.run(run,
+                                                                 {.onHead =
+                                                                      [this](unsigned status, const std::string &contentType) {
+                                                                          this->headStatus = status;
+                                                                          this->headType = contentType;
+                                                                      },
+                                                                  .onChunk =
+                                                                      [this](const std::string &data) {
+                                                                          this->chunks.push_back(data);
+                                                                      },
+                                                                  .onDone =
+                                                                      [&](const EngineResult &ended) {
+                                                                          result = ended;
+                                                                          isDone = true;
+                                                                      }});
+        BOOST_REQUIRE(runUntil(this->loop, [&] {
+            return isDone;
+        }));
+        return result;
+    }
+
+    EngineResult chat(const std::string &stream, bool breakOff = false)
+    {
+        this->answer = [stream, breakOff](HttpReply &httpReply) {
+            httpReply.startStream(200, {{"content-type", "text/event-stream"}});
+            httpReply.write(stream);
+            if (breakOff) {
+                return;
+            }
+            httpReply.finish();
+        };
+        return this->run(chatEngineAdapter(this->loop, this->client, this->settings));
+    }
+
+    EventLoop loop;
+    HttpServer server;
+    HttpClient client{loop};
+    EndpointSettings settings;
+    HttpRequest request;
+    std::shared_ptr<HttpReply> reply;
+    std::function<void(HttpReply &)> answer;
+    std::vector<std::string> chunks;
+    unsigned headStatus = 0;
+    std::string headType;
+};
+
+const std::string Word = "data: {\"choices\":[{\"delta\":{\"content\":\"hi\"},\"finish_reason\":null}]}\n\n";
+const std::string Finish = "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n";
+const std::string UsageEvent = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":5,\"completion_tokens\":2}}\r\n\r\n";
+const std::string End = "data: [DONE]\n\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(eventsAreReadFromAnyPieces)
+{
+    const std::string text = ": comment\n\ndata: one\n\ndata:two\r\ndata: more\r\n\r\nevent: x\nid: 1\ndata: three\n\ndata: unfinished";
+    for (std::size_t size = 1; size <= text.size(); ++size) {
+        std::vector<std::string> events;
+        EventStream stream([&](std::string_view data) {
+            events.emplace_back(data);
+        });
+        for (std::size_t at = 0; at < text.size(); at += size) {
+            BOOST_TEST(stream.feed(std::string_view(text).substr(at, size)));
+        }
+        BOOST_TEST(events == (std::vector<std::string>{"one", "two\nmore", "three"}), boost::test_tools::per_element());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(eventsAreBounded)
+{
+    EventStream stream([](std::string_view) {}, 100);
+    BOOST_TEST(stream.feed("data: " + std::string(50, 'x')));
+    BOOST_TEST(!stream.feed(std::string(50, 'x')));
+}
+
+BOOST_FIXTURE_TEST_CASE(wholeAnswerWithUsage, Fixture)
+{
+    const EngineResult result = this->chat(Word + Word + Finish + UsageEvent + End);
+    BOOST_TEST(result.outcome == Wire::OUTCOME_WHOLE);
+    BOOST_TEST(result.verdict == Wire::VERDICT_RAN);
+    BOOST_TEST(result.usage.input_tokens() == 5U);
+    BOOST_TEST(result.usage.output_tokens() == 2U);
+    BOOST_TEST(result.error == "");
+    BOOST_TEST(this->chunks.size() == 4U);
+    BOOST_TEST(this->headStatus == 200U);
+    BOOST_TEST(this->request.body.find("\"include_usage\":true") != std::string::npos);
+    BOOST_TEST(this->request.body.find("\"model\":\"small-1\"") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(finishWithUsageIsWholeToo, Fixture)
+{
+    BOOST_TEST(this->chat(Word + Finish + UsageEvent).outcome == Wire::OUTCOME_WHOLE);
+}
+
+BOOST_FIXTURE_TEST_CASE(endMarkOnAnOpenConnectionIsWhole, Fixture)
+{
+    BOOST_TEST(this->chat(Word + Finish + UsageEvent + End, true).outcome == Wire::OUTCOME_WHOLE);
+}
+
+BOOST_FIXTURE_TEST_CASE(answerWithoutEndIsCut, Fixture)
+{
+    for (const std::string &stream : {Word, Word + Finish, std::string(": nothing\n\n")}) {
+        const EngineResult result = this->chat(stream);
+        BOOST_TEST(result.outcome == Wire::OUTCOME_CUT);
+        BOOST_TEST(result.verdict == Wire::VERDICT_MAY_HAVE_RUN);
+        BOOST_TEST(result.error != "");
+    }
+    BOOST_TEST(this->chat(Word).usage.output_tokens() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(silentEngineIsCutWithinTheBound, Fixture)
+{
+    const std::uint64_t begin = this->loop.nowMs();
+    const EngineResult result = this->chat(Word, true);
+    BOOST_TEST(result.outcome == Wire::OUTCOME_CUT);
+    BOOST_TEST(!result.neverSent);
+    BOOST_TEST(this->loop.nowMs() - begin < 1500U);
+}
+
+BOOST_FIXTURE_TEST_CASE(emptyAnswerIsNamed, Fixture)
+{
+    const EngineResult result = this->chat(Finish + UsageEvent + End);
+    BOOST_TEST(result.outcome == Wire::OUTCOME_WHOLE);
+    BOOST_TEST(result.error == "empty-answer");
+}
+
+BOOST_FIXTURE_TEST_CASE(errorOfTheEngineFails, Fixture)
+{
+    BOOST_TEST(this->chat(Word + "data: {\"error\":{\"message\":\"out of memory\"}}\n\n").outcome == Wire::OUTCOME_FAILED);
+    this->answer = [](HttpReply &httpReply) {
+        httpReply.send(500, {{"content-type", "application/json"}}, R"({"error":{"message":"broken"}})");
+    };
+    const EngineResult result = this->run(chatEngineAdapter(this->loop, this->client, this->settings));
+    BOOST_TEST(result.outcome == Wire::OUTCOME_FAILED);
+    BOOST_TEST(result.verdict == Wire::VERDICT_MAY_HAVE_RUN);
+    BOOST_TEST(result.status == 500U);
+    BOOST_TEST(this->chunks.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(refusedConnectionIsNeverSent, Fixture)
+{
+    this->settings.engineUrl = "http://127.0.0.1:9";
+    BOOST_TEST(this->run(plainServiceAdapter(this->client, this->settings)).neverSent);
+    BOOST_TEST(this->run(chatEngineAdapter(this->loop, this->client, this->settings)).neverSent);
+}
+
+BOOST_FIXTURE_TEST_CASE(plainServicePassesBytesOn, Fixture)
+{
+    this->answer = [](HttpReply &httpReply) {
+        httpReply.send(409, {{"content-type", "text/plain"}}, "no poles left");
+    };
+    const EngineResult result = this->run(plainServiceAdapter(this->client, this->settings));
+    BOOST_TEST(result.outcome == Wire::OUTCOME_WHOLE);
+    BOOST_TEST(result.usage.calls() == 1U);
+    BOOST_TEST(this->headStatus == 409U);
+    BOOST_TEST(this->headType == "text/plain");
+    BOOST_TEST(this->chunks.at(0) == "no poles left");
+}
+
+BOOST_FIXTURE_TEST_CASE(plainServiceThatBreaksOffMayHaveRun, Fixture)
+{
+    this->answer = [](HttpReply &httpReply) {
+        httpReply.startStream(200, {});
+        httpReply.abort();
+    };
+    const EngineResult result = this->run(plainServiceAdapter(this->client, this->settings));
+    BOOST_TEST(!result.neverSent);
+    BOOST_TEST(result.outcome == Wire::OUTCOME_CUT);
+    BOOST_TEST(result.verdict == Wire::VERDICT_MAY_HAVE_RUN);
+    BOOST_TEST(result.usage.calls() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(reportsAreReadAndFaultyOnesPassedOver, Fixture)
+{
+    const EngineAdapter adapter = chatEngineAdapter(this->loop, this->client, this->settings);
+    std::string body = R"({"running":3,"queued":2,"ageMs":40,"versions":["small-1"]})";
+    this->answer = [&](HttpReply &httpReply) {
+        httpReply.send(200, {}, body);
+    };
+    EngineLoad load;
+    bool isDone = false;
+    const auto read = [&] {
+        isDone = false;
+        adapter.readLoad([&](const EngineLoad &report) {
+            load = report;
+            isDone = true;
+        });
+        BOOST_REQUIRE(runUntil(this->loop, [&] {
+            return isDone;
+        }));
+    };
+    read();
+    BOOST_CHECK((load == EngineLoad{.known = true, .running = 3, .queued = 2, .ageMs = 40, .versions = {"small-1"}}));
+    body = R"({"running":"many"})";
+    read();
+    BOOST_TEST(!load.known);
+    body = R"({"events":[{"number":5,"prefixHash":77,"evicted":true}]})";
+    CacheEvents events;
+    isDone = false;
+    adapter.readCacheEvents(3, [&](const CacheEvents &report) {
+        events = report;
+        isDone = true;
+    });
+    BOOST_REQUIRE(runUntil(this->loop, [&] {
+        return isDone;
+    }));
+    BOOST_TEST(events.gap);
+    BOOST_TEST(events.next == 6U);
+    BOOST_TEST(events.hints.at(0).prefix_hash() == 77U);
+    BOOST_TEST(this->request.query == "since=3");
+}
