--- a/test/endpointtask.cpp
+++ b/test/endpointtask.cpp
@@ -27,8 +27,7 @@
 class ScriptedEngineRun : public EngineRun
 {
 public:
-    explicit ScriptedEngineRun(std::shared_ptr<ScriptedRun> scripted)
-        : run(std::move(scripted))
+    explicit ScriptedEngineRun(std::shared_ptr<ScriptedRun> scripted) : run(std::move(scripted))
     { }
 
     ~ScriptedEngineRun() override
