--- a/Apricothead/src/Coordination/ChatEngine.cpp
+++ b/Apricothead/src/Coordination/ChatEngine.cpp
@@ -222,19 +222,19 @@
     adapter.run = [&loop, &client, settings](const Wire::Run &run, EngineRunHooks hooks) -> std::unique_ptr<EngineRun> {
         return std::make_unique<detail::ChatRun>(loop, client, settings, run, std::move(hooks));
     };
-    adapter.probe = [&client, settings](std::function<void(bool)> done) {
+    adapter.probe = [&client, settings](const std::function<void(bool)> &done) {
         detail::callEngine(client, settings, {.method = "GET", .path = "/health", .body = {}}, [done](const HttpResult &http, const std::string &) {
             done(http.whole && http.status < detail::FirstErrorStatus);
         });
     };
-    adapter.readLoad = [&client, settings](std::function<void(const EngineLoad &)> done) {
+    adapter.readLoad = [&client, settings](const std::function<void(const EngineLoad &)> &done) {
         detail::callEngine(client, settings, {.method = "GET", .path = "/load", .body = {}}, [done](const HttpResult &http, const std::string &body) {
             done(detail::parsedReport<EngineLoad>([&] {
                 return detail::parseLoad(http, body);
             }));
         });
     };
-    adapter.readCacheEvents = [&client, settings](std::uint64_t since, std::function<void(const CacheEvents &)> done) {
+    adapter.readCacheEvents = [&client, settings](std::uint64_t since, const std::function<void(const CacheEvents &)> &done) {
         const std::string path = "/cache-events?since=" + std::to_string(since);
         detail::callEngine(client, settings, {.method = "GET", .path = path, .body = {}}, [since, done](const HttpResult &http, const std::string &body) {
             done(detail::parsedReport<CacheEvents>([&] {
@@ -242,7 +242,7 @@
             }));
         });
     };
-    adapter.order = [&client, settings](const Wire::Order &order, std::function<void(const std::string &)> done) {
+    adapter.order = [&client, settings](const Wire::Order &order, const std::function<void(const std::string &)> &done) {
         nlohmann::json body{{"fence", order.fence()}};
         if (!order.load_version().empty()) {
             body["load"] = order.load_version();
--- a/Apricothead/src/Coordination/PlainService.cpp
+++ b/Apricothead/src/Coordination/PlainService.cpp
@@ -86,7 +86,7 @@
         return std::make_unique<detail::PlainRun>(client, settings, run, std::move(hooks));
     };
     // A plain service need not know a path for this: any answer will do.
-    adapter.probe = [&client, settings](std::function<void(bool)> done) {
+    adapter.probe = [&client, settings](const std::function<void(bool)> &done) {
         detail::callEngine(client, settings, {.method = "GET", .path = "/health", .body = {}}, [done](const HttpResult &http, const std::string &) {
             done(http.whole && http.status < detail::FirstServerErrorStatus);
         });
