--- a/Apricothead/src/Coordination/Metrics.cpp
+++ b/Apricothead/src/Coordination/Metrics.cpp
@@ -9,7 +9,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 namespace Statistics = boost::accumulators;
 
@@ -35,11 +35,11 @@
     }
 }
 
-} // namespace detail
+} // namespace
 
 struct Metrics::Private {
-    std::map<detail::MetricKey, std::uint64_t> counters;
-    std::map<detail::MetricKey, detail::Distribution> distributions;
+    std::map<MetricKey, std::uint64_t> counters;
+    std::map<MetricKey, Distribution> distributions;
 };
 
 Metrics::Metrics() : d(std::make_unique<Private>())
@@ -54,10 +54,10 @@
 
 void Metrics::observe(std::string_view name, std::string_view label, double value)
 {
-    const detail::MetricKey key{std::string(name), std::string(label)};
+    const MetricKey key{std::string(name), std::string(label)};
     auto place = this->d->distributions.find(key);
     if (place == this->d->distributions.end()) {
-        const detail::Distribution empty(detail::Statistics::extended_p_square_probabilities = detail::Quantiles);
+        const Distribution empty(Statistics::extended_p_square_probabilities = Quantiles);
         place = this->d->distributions.emplace(key, empty).first;
     }
     place->second(value);
@@ -70,7 +70,7 @@
         lines.push_back({.name = key.first, .label = key.second, .statistic = {}, .value = static_cast<double>(value)});
     }
     for (const auto &[key, distribution] : this->d->distributions) {
-        detail::readDistribution(key, distribution, lines);
+        readDistribution(key, distribution, lines);
     }
     return lines;
 }
--- a/Apricothead/src/Coordination/ReplicaClient.cpp
+++ b/Apricothead/src/Coordination/ReplicaClient.cpp
@@ -12,7 +12,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 constexpr std::chrono::milliseconds ScanInterval{50};
 /** A call unanswered for this long is sent to another replica. */
@@ -78,7 +78,7 @@
     return error;
 }
 
-} // namespace detail
+} // namespace
 
 struct ReplicaClient::Private {
     Private(EventLoop &eventLoop, ReplicaClientOptions given)
@@ -176,32 +176,32 @@
         return this->nextSeed;
     }
 
-    void sendCall(detail::PendingCall &call)
+    void sendCall(PendingCall &call)
     {
         if (this->dealers.empty()) {
             return;
         }
         call.lastSeed = this->chooseSeed();
-        call.resendAtMs = this->loop.nowMs() + detail::ResendAfterMs;
+        call.resendAtMs = this->loop.nowMs() + ResendAfterMs;
         if (this->dealers[call.lastSeed]->send(call.message.SerializeAsString())) {
             ++call.unresolved;
         }
     }
 
-    void start(std::uint64_t id, detail::PendingCall call, std::chrono::milliseconds deadline)
+    void start(std::uint64_t id, PendingCall call, std::chrono::milliseconds deadline)
     {
         call.deadlineMs = this->loop.nowMs() + static_cast<std::uint64_t>(deadline.count());
         const auto [place, added] = this->calls.emplace(id, std::move(call));
         this->sendCall(place->second);
         if (!this->scanTimer.isActive()) {
-            this->scanTimer.startRepeating(detail::ScanInterval);
+            this->scanTimer.startRepeating(ScanInterval);
         }
     }
 
     void scan()
     {
         const std::uint64_t now = this->loop.nowMs();
-        std::vector<detail::PendingCall> late;
+        std::vector<PendingCall> late;
         for (auto place = this->calls.begin(); place != this->calls.end();) {
             if (now >= place->second.deadlineMs) {
                 late.push_back(std::move(place->second));
@@ -217,14 +217,14 @@
         if (this->calls.empty()) {
             this->scanTimer.stop();
         }
-        for (const detail::PendingCall &call : late) {
+        for (const PendingCall &call : late) {
             this->lateUnresolved = call.unresolved;
             call.done(nullptr);
         }
     }
 
     /** A leader that left a call unanswered may be cut off from its group: ask another replica. */
-    void avoidSilentLeader(const detail::PendingCall &call)
+    void avoidSilentLeader(const PendingCall &call)
     {
         if (this->leader == this->options.seeds[call.lastSeed] && call.resendAtMs != 0) {
             this->leader.clear();
@@ -275,7 +275,7 @@
             }
         }
         const std::vector<Wire::EndpointStatus> &listed = this->directories[source];
-        if (detail::sameEndpoints(listed, this->endpoints)) {
+        if (sameEndpoints(listed, this->endpoints)) {
             return;
         }
         this->endpoints = listed;
@@ -286,21 +286,21 @@
 
     void takeReply(const Wire::Envelope &reply)
     {
-        const auto place = this->calls.find(detail::callOf(reply));
+        const auto place = this->calls.find(callOf(reply));
         if (place == this->calls.end()) {
             return;
         }
         if (reply.has_propose_reply() && !reply.propose_reply().leader_address().empty()) {
             this->leader = reply.propose_reply().leader_address();
         }
-        if (detail::saysNotAppended(reply) && place->second.unresolved > 0) {
+        if (saysNotAppended(reply) && place->second.unresolved > 0) {
             --place->second.unresolved;
         }
-        if (detail::saysNotAppended(reply) || detail::saysUnknown(reply) || detail::saysUnavailable(reply)) {
+        if (saysNotAppended(reply) || saysUnknown(reply) || saysUnavailable(reply)) {
             place->second.resendAtMs = 0;
             return;
         }
-        const detail::PendingCall call = std::move(place->second);
+        const PendingCall call = std::move(place->second);
         this->calls.erase(place);
         call.done(&reply);
     }
@@ -312,7 +312,7 @@
     std::vector<std::unique_ptr<Dealer>> dealers;
     std::map<std::size_t, std::uint64_t> directoryNumbers;
     std::map<std::size_t, std::vector<Wire::EndpointStatus>> directories;
-    std::map<std::uint64_t, detail::PendingCall> calls;
+    std::map<std::uint64_t, PendingCall> calls;
     std::uint64_t nextCall = 1;
     std::size_t nextSeed = 0;
     unsigned lateUnresolved = 0;
@@ -331,7 +331,7 @@
 void ReplicaClient::propose(Wire::Command command, std::chrono::milliseconds deadline, std::function<void(const ProposeOutcome &)> done)
 {
     const std::uint64_t id = this->d->nextCall++;
-    detail::PendingCall call;
+    PendingCall call;
     call.message = this->d->envelope();
     call.message.mutable_propose()->set_call(id);
     *call.message.mutable_propose()->mutable_command() = std::move(command);
@@ -351,13 +351,13 @@
 void ReplicaClient::query(Wire::Query query, std::chrono::milliseconds deadline, std::function<void(const Wire::QueryReply &)> done)
 {
     const std::uint64_t id = this->d->nextCall++;
-    detail::PendingCall call;
+    PendingCall call;
     call.message = this->d->envelope();
     *call.message.mutable_query() = std::move(query);
     call.message.mutable_query()->set_call(id);
     call.done = [done = std::move(done)](const Wire::Envelope *reply) {
         Wire::QueryReply late;
-        *late.mutable_error() = detail::unavailable();
+        *late.mutable_error() = unavailable();
         done(reply != nullptr ? reply->query_reply() : late);
     };
     this->d->start(id, std::move(call), deadline);
@@ -366,13 +366,13 @@
 void ReplicaClient::changeMembers(Wire::ChangeMembers change, std::chrono::milliseconds deadline, std::function<void(const Wire::ChangeMembersReply &)> done)
 {
     const std::uint64_t id = this->d->nextCall++;
-    detail::PendingCall call;
+    PendingCall call;
     call.message = this->d->envelope();
     *call.message.mutable_change_members() = std::move(change);
     call.message.mutable_change_members()->set_call(id);
     call.done = [done = std::move(done)](const Wire::Envelope *reply) {
         Wire::ChangeMembersReply late;
-        *late.mutable_error() = detail::unavailable();
+        *late.mutable_error() = unavailable();
         done(reply != nullptr ? reply->change_members_reply() : late);
     };
     this->d->start(id, std::move(call), deadline);
--- a/Apricothead/src/Protocol/SettingsReader.cpp
+++ b/Apricothead/src/Protocol/SettingsReader.cpp
@@ -16,7 +16,7 @@
 #include <sstream>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 using Json = nlohmann::json;
 using Faults = std::vector<SettingsFault>;
@@ -64,7 +64,7 @@
 
 void checkSchema(const Json &document, Faults &faults)
 {
-    const Json schemaText = Json::parse(SettingsSchema);
+    const Json schemaText = Json::parse(detail::SettingsSchema);
     valijson::Schema schema;
     valijson::SchemaParser().populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaText), schema);
     valijson::ValidationResults results;
@@ -297,26 +297,26 @@
     }
 }
 
-} // namespace detail
+} // namespace
 
 SettingsResult readSettings(std::string_view text)
 {
-    detail::Json document;
+    Json document;
     try {
-        document = detail::Json::parse(text, nullptr, true, true);
-    } catch (const detail::Json::parse_error &error) {
+        document = Json::parse(text, nullptr, true, true);
+    } catch (const Json::parse_error &error) {
         return std::vector<SettingsFault>{{.path = "", .message = error.what()}};
     }
     std::vector<SettingsFault> faults;
-    detail::checkSchema(document, faults);
+    checkSchema(document, faults);
     if (!faults.empty()) {
         return faults;
     }
-    const Settings settings = detail::readAll(document);
-    detail::checkRoles(settings, faults);
-    detail::checkAddresses(settings, faults);
-    detail::checkServed(settings, faults);
-    detail::checkTiming(settings, faults);
+    const Settings settings = readAll(document);
+    checkRoles(settings, faults);
+    checkAddresses(settings, faults);
+    checkServed(settings, faults);
+    checkTiming(settings, faults);
     if (!faults.empty()) {
         return faults;
     }
--- a/Apricothead/src/Transport/Log.cpp
+++ b/Apricothead/src/Transport/Log.cpp
@@ -12,7 +12,7 @@
 #include <iostream>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 struct LogState {
     std::string process;
@@ -47,11 +47,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
-} // namespace detail
+} // namespace
 
 void startLog(std::string_view process, LogLevel least)
 {
-    detail::LogState &state = detail::logState();
+    LogState &state = logState();
     state.process = process;
     state.least = least;
     if (state.started) {
@@ -65,14 +65,14 @@
 
 void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    const detail::LogState &state = detail::logState();
+    const LogState &state = logState();
     if (!state.started || level < state.least) {
         return;
     }
     nlohmann::ordered_json line;
-    line["timeMs"] = detail::wallClockMs();
+    line["timeMs"] = wallClockMs();
     line["process"] = state.process;
-    line["level"] = detail::levelName(level);
+    line["level"] = levelName(level);
     line["event"] = event;
     for (const LogField &field : fields) {
         std::visit(
