--- a/Apricothead/src/Coordination/ReplicaLinks.cpp
+++ b/Apricothead/src/Coordination/ReplicaLinks.cpp
@@ -71,7 +71,7 @@
     });
 }
 
-void ReplicaLinks::reply(const PeerId &peer, Wire::Envelope message)
+void ReplicaLinks::reply(const PeerId &peer, const Wire::Envelope &message)
 {
     std::string bytes = message.SerializeAsString();
     this->sentBytes += bytes.size();
@@ -80,7 +80,7 @@
     });
 }
 
-bool ReplicaLinks::sendTo(const std::string &address, Wire::Envelope message)
+bool ReplicaLinks::sendTo(const std::string &address, const Wire::Envelope &message)
 {
     if (!this->isConnected(address)) {
         return false;
@@ -107,7 +107,7 @@
     // A new replica doesn't know the others' addresses before its first entries.
     const auto peer = this->inbound.find(message.to());
     if (peer != this->inbound.end()) {
-        this->reply(peer->second, std::move(envelope));
+        this->reply(peer->second, envelope);
     }
 }
 
--- a/Apricothead/src/Coordination/ReplicaLinks.h
+++ b/Apricothead/src/Coordination/ReplicaLinks.h
@@ -49,10 +49,10 @@
     Wire::Envelope envelope() const;
 
     /** Answers on a connection that a process made. */
-    void reply(const PeerId &peer, Wire::Envelope message);
+    void reply(const PeerId &peer, const Wire::Envelope &message);
 
     /** Sends to the replica at \a address. \returns false when it is not connected */
-    bool sendTo(const std::string &address, Wire::Envelope message);
+    bool sendTo(const std::string &address, const Wire::Envelope &message);
 
     /** Sends to the member that the message names, by its address or by the connection it made. A message that can't be sent is dropped. */
     void sendRaft(const Wire::RaftMessage &message);
--- a/Apricothead/src/Coordination/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/ReplicaTask.cpp
@@ -18,6 +18,7 @@
 
 namespace Apricothead {
 namespace detail {
+namespace {
 
 /** Leadership is handed over within this time, or the replica stops as leader. */
 constexpr std::uint64_t HandOverMs = 2000;
@@ -100,6 +101,7 @@
     std::uint64_t invitedMs = 0;
 };
 
+} // namespace
 } // namespace detail
 
 struct ReplicaTask::Private {
@@ -249,7 +251,11 @@
                 },
         },
         std::move(stored));
-    this->openLinks();
+    try {
+        this->openLinks();
+    } catch (const std::exception &failure) {
+        return StoreError{.code = StoreError::Code::Io, .message = "cannot listen on " + this->settings.replica->address + ": " + failure.what()};
+    }
     this->tickTimer.startRepeating(this->settings.timing.raftTick);
     this->choreTimer.startRepeating(detail::ChoreInterval);
     logLine(LogLevel::Info,
@@ -637,7 +643,7 @@
     if (result != nullptr) {
         *reply->mutable_result() = *result;
     }
-    this->links->reply(peer, std::move(message));
+    this->links->reply(peer, message);
 }
 
 std::string ReplicaTask::Private::leaderAddress() const
@@ -666,7 +672,7 @@
         message.mutable_change_members()->set_forwarded(true);
     }
     const Wire::Envelope::BodyCase kind = message.body_case();
-    if (!this->links->sendTo(address, std::move(message))) {
+    if (!this->links->sendTo(address, message)) {
         return false;
     }
     const std::uint64_t wait = static_cast<std::uint64_t>(this->settings.timing.proposal.count());
@@ -690,7 +696,7 @@
         message.mutable_change_members_reply()->set_call(original.call);
     }
     message.set_sender(this->store->replica());
-    this->links->reply(original.peer, std::move(message));
+    this->links->reply(original.peer, message);
 }
 
 void ReplicaTask::Private::dropForwarded(const std::function<bool(const detail::ForwardedCall &)> &lost)
@@ -721,7 +727,7 @@
         message.mutable_change_members_reply()->set_call(call.call);
         *message.mutable_change_members_reply()->mutable_error() = error;
     }
-    this->links->reply(call.peer, std::move(message));
+    this->links->reply(call.peer, message);
 }
 
 // ---- queries ----
@@ -742,7 +748,7 @@
     Wire::Envelope reply = this->links->envelope();
     reply.mutable_query_reply()->set_call(query.call());
     *reply.mutable_query_reply()->mutable_error() = detail::noLeader();
-    this->links->reply(peer, std::move(reply));
+    this->links->reply(peer, reply);
 }
 
 void ReplicaTask::Private::answerReads(const std::vector<RaftRead> &reads)
@@ -761,7 +767,7 @@
         Wire::Envelope reply = this->links->envelope();
         reply.mutable_query_reply()->set_call(waitingQuery.query.call());
         *reply.mutable_query_reply()->mutable_error() = detail::noLeader();
-        this->links->reply(waitingQuery.peer, std::move(reply));
+        this->links->reply(waitingQuery.peer, reply);
     }
 }
 
@@ -781,7 +787,7 @@
     } else {
         *reply->mutable_configuration() = this->machine.configuration();
     }
-    this->links->reply(peer, std::move(message));
+    this->links->reply(peer, message);
 }
 
 Wire::ClusterStatus ReplicaTask::Private::status() const
@@ -882,7 +888,7 @@
     process.leader = this->leaderAddress();
     update->set_leader(this->raft->leader());
     update->set_leader_address(process.leader);
-    this->links->reply(peer, std::move(message));
+    this->links->reply(peer, message);
 }
 
 void ReplicaTask::Private::sendUpdates()
@@ -903,7 +909,7 @@
         Wire::Envelope reply = this->links->envelope();
         reply.mutable_change_members_reply()->set_call(request.call());
         *reply.mutable_change_members_reply()->mutable_error() = error;
-        this->links->reply(peer, std::move(reply));
+        this->links->reply(peer, reply);
     };
     if (this->raft->role() != RaftRole::Leader || this->stopping) {
         Wire::Envelope message = this->links->envelope();
@@ -957,7 +963,7 @@
     reply->mutable_member()->set_replica(this->store->replica());
     reply->mutable_member()->set_address(this->settings.replica->address);
     reply->mutable_member()->set_availability_zone(this->settings.availabilityZone);
-    this->links->reply(peer, std::move(message));
+    this->links->reply(peer, message);
 }
 
 void ReplicaTask::Private::takeInviteReply(const Wire::InviteReply &reply)
@@ -987,7 +993,7 @@
         Wire::Envelope message = this->links->envelope();
         message.mutable_invite()->set_group(this->settings.group);
         *message.mutable_invite()->mutable_members() = this->raft->membership().members();
-        if (this->links->sendTo(address, std::move(message))) {
+        if (this->links->sendTo(address, message)) {
             this->change->invitedMs = this->now();
         }
         return;
@@ -1020,7 +1026,7 @@
     if (error != nullptr) {
         *message.mutable_change_members_reply()->mutable_error() = *error;
     }
-    this->links->reply(*ended.peer, std::move(message));
+    this->links->reply(*ended.peer, message);
 }
 
 void ReplicaTask::Private::inviteMissingSeed()
