--- a/bench/replicagroup.h
+++ b/bench/replicagroup.h
@@ -31,7 +31,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    static_cast<void>(::bind(probe, reinterpret_cast<sockaddr *>(&address), size);
+    static_cast<void>(::bind(probe, reinterpret_cast<sockaddr *>(&address), size));
     ::getsockname(probe, reinterpret_cast<sockaddr *>(&address), &size);
     ::close(probe);
     return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
