Digests of entries travel by heartbeat and update

Cause: shared limits and roll-out evidence need each entry's digest at the others, without a message for each request. Ruled out: entries connected to each other (grows with the square of entries). Change: Directory keeps the newest digest of each entry; replicas answer a heartbeat that has one with all of them. Before: fields without a carrier.

--- a/Apricothead/src/Coordination/Directory.cpp
+++ b/Apricothead/src/Coordination/Directory.cpp
@@ -81,6 +81,18 @@
     return std::max<std::uint64_t>(1, hash);
 }
 
+std::vector<Wire::EntryDigest> Directory::digests(std::uint64_t nowMs) const
+{
+    std::vector<Wire::EntryDigest> listed;
+    for (const auto &[process, state] : this->known) {
+        if (!state.heartbeat.has_digest() || nowMs - state.heardMs > this->silenceMs) {
+            continue;
+        }
+        listed.push_back(state.heartbeat.digest());
+    }
+    return listed;
+}
+
 std::vector<Wire::ProcessStatus> Directory::processes(std::uint64_t nowMs) const
 {
     std::vector<Wire::ProcessStatus> result;
--- a/Apricothead/src/Coordination/Directory.h
+++ b/Apricothead/src/Coordination/Directory.h
@@ -35,6 +35,9 @@
     /** \returns a number that changes with endpoints(); never 0 */
     std::uint64_t number(std::uint64_t nowMs) const;
 
+    /** \returns the newest digest of each entry process heard lately */
+    std::vector<Wire::EntryDigest> digests(std::uint64_t nowMs) const;
+
     std::vector<Wire::ProcessStatus> processes(std::uint64_t nowMs) const;
 
     /** \returns when \a endpoint was last heard under \a incarnation, nothing when it was not */
--- a/Apricothead/src/Coordination/ReplicaClient.cpp
+++ b/Apricothead/src/Coordination/ReplicaClient.cpp
@@ -262,6 +262,9 @@
             this->directories[seed].assign(update.endpoints().begin(), update.endpoints().end());
             this->directoryNumbers[seed] = update.directory_number();
         }
+        if (update.digests_size() > 0 && this->options.onDigests) {
+            this->options.onDigests({update.digests().begin(), update.digests().end()});
+        }
         this->chooseDirectory(seed);
     }
 
--- a/Apricothead/src/Coordination/ReplicaClient.h
+++ b/Apricothead/src/Coordination/ReplicaClient.h
@@ -30,6 +30,8 @@
     std::function<void(const Wire::Configuration &)> onConfiguration;
     /** The list of endpoint processes changed. */
     std::function<void(const std::vector<Wire::EndpointStatus> &)> onDirectory;
+    /** The newest digests of all entries, this one's included. Sent only to a process whose heartbeats carry a digest. */
+    std::function<void(const std::vector<Wire::EntryDigest> &)> onDigests;
 };
 
 /** \class ProposeOutcome
--- a/Apricothead/src/Coordination/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/ReplicaTask.cpp
@@ -171,7 +171,7 @@
     void replyLost(const detail::ForwardedCall &call);
 
     // Processes
-    void sendUpdate(const PeerId &peer, detail::ConnectedProcess &process);
+    void sendUpdate(const PeerId &peer, detail::ConnectedProcess &process, bool withDigests = false);
     void sendUpdates();
 
     // Chores of the leader
@@ -860,12 +860,12 @@
     process.directoryNumber = heartbeat.directory_number();
     const bool outdated = process.revision < this->machine.configuration().revision() || process.leader != this->leaderAddress()
         || process.directoryNumber != this->directory.number(this->now());
-    if (outdated) {
-        this->sendUpdate(peer, process);
+    if (outdated || heartbeat.has_digest()) {
+        this->sendUpdate(peer, process, heartbeat.has_digest());
     }
 }
 
-void ReplicaTask::Private::sendUpdate(const PeerId &peer, detail::ConnectedProcess &process)
+void ReplicaTask::Private::sendUpdate(const PeerId &peer, detail::ConnectedProcess &process, bool withDigests)
 {
     Wire::Envelope message = this->links->envelope();
     Wire::ClusterUpdate *update = message.mutable_update();
@@ -885,6 +885,11 @@
         *update->mutable_members() = this->raft->membership().members();
         process.directoryNumber = number;
     }
+    if (withDigests) {
+        for (Wire::EntryDigest &digest : this->directory.digests(this->now())) {
+            update->add_digests()->Swap(&digest);
+        }
+    }
     process.leader = this->leaderAddress();
     update->set_leader(this->raft->leader());
     update->set_leader_address(process.leader);
