Test transport: stop the loop once for each wait

Cause: runUntil's timer could call stop() twice before the loop ended; the second one, not seen yet, ended the next run() at once, so the condition was checked 0 ms later (traced: "reset" and the failed check in the same millisecond). Ruled out: a lost monitor event of ZeroMQ and a port taken by another process (90 runs of the Dealer alone, no odd one). Before: 3 of 25 runs failed one after the other, 6 of 60 in parallel. After: 0 of 60 runs of the whole file, 6 at a time. Conclusion: a fault of the test, not of Dealer.

--- a/test/transport.cpp
+++ b/test/transport.cpp
@@ -23,8 +23,11 @@
 bool runUntil(EventLoop &loop, const std::function<bool()> &condition)
 {
     const std::uint64_t end = loop.nowMs() + Patience.count();
+    // Stops once: a second stop that the loop has not seen yet would end the next run() at once.
+    bool ended = false;
     Timer check(loop, [&] {
-        if (condition() || loop.nowMs() > end) {
+        if (!ended && (condition() || loop.nowMs() > end)) {
+            ended = true;
             loop.stop();
         }
     });
