Entry: callers' interface, request runs and links to endpoint processes (not yet tested)

Cause: the entry role is missing. Change: CallerApi and CallerRequest check what callers send; StepRun takes one step through version, endpoint, admission, run and settlement, with further attempts only where they are safe; RequestRun gives the answer and walks a cascade; EndpointPool holds the links, load and health of endpoint processes.

--- /dev/null
+++ b/Apricothead/src/Coordination/Authentication.cpp
@@ -0,0 +1,26 @@
+#include "Authentication.h"
+
+#include "../Protocol/KeyHash.h"
+
+namespace Apricothead {
+
+const Wire::Organisation *authenticate(const Wire::Configuration &configuration, std::string_view authorization)
+{
+    const std::string_view token = bearerToken(authorization);
+    if (token.empty()) {
+        return nullptr;
+    }
+    const std::string hash = sha256Hex(token);
+    const Wire::Organisation *found = nullptr;
+    // Every hash is compared, so that the time tells nothing of the place of a match.
+    for (const Wire::Organisation &organisation : configuration.organisations()) {
+        for (const std::string &known : organisation.key_hashes()) {
+            if (equalInConstantTime(known, hash)) {
+                found = &organisation;
+            }
+        }
+    }
+    return found;
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/CallerApi.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "CallerAnswer.h"
+#include "CallerRequest.h"
+
+#include "../Protocol/Messages.h"
+#include "../Transport/HttpServer.h"
+
+#include <functional>
+#include <memory>
+
+namespace Apricothead {
+
+/** \class CallerApiOptions
+ * \ingroup Coordination_Module
+ * \brief What a CallerApi needs of its entry.
+ */
+struct CallerApiOptions {
+    /** Null until the first configuration has arrived. */
+    std::function<const Wire::Configuration *()> configuration;
+    std::function<bool()> isLeaving;
+    /** A request is checked and may run. */
+    std::function<void(CallerRequest, std::unique_ptr<CallerAnswer>)> onRequest;
+};
+
+/** \class CallerApi
+ * \ingroup Coordination_Module
+ * \brief The callers' interface: finds the organisation and the call, answers what needs no run, and refuses what is wrong.
+ */
+class CallerApi
+{
+public:
+    explicit CallerApi(CallerApiOptions options);
+
+    void serve(const HttpRequest &http, const std::shared_ptr<HttpReply> &reply) const;
+
+private:
+    void serveKnown(const HttpRequest &http, const std::shared_ptr<HttpReply> &reply, const std::string &requestId) const;
+    void serveModels(const HttpRequest &http, HttpReply &reply, const Wire::Organisation &organisation, const std::string &requestId) const;
+    void serveHealth(HttpReply &reply, const std::string &requestId) const;
+    void run(ReadRequest read, const std::shared_ptr<HttpReply> &reply, const std::string &requestId) const;
+
+    CallerApiOptions options;
+};
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/EndpointPool.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "EndpointLinks.h"
+#include "EndpointTracker.h"
+#include "PrefixIndex.h"
+
+#include <map>
+#include <string>
+
+namespace Apricothead {
+
+/** \class EndpointPoolOptions
+ * \ingroup Coordination_Module
+ * \brief Links, bounds and hooks of an EndpointPool.
+ */
+struct EndpointPoolOptions {
+    /** Its hooks are called after the pool has taken note. */
+    EndpointLinksOptions links;
+    EndpointTrackerOptions tracker;
+    std::string availabilityZone;
+};
+
+/** \class EndpointPool
+ * \ingroup Coordination_Module
+ * \brief The endpoint processes that an entry knows: their links, load, health and cached prefixes, and the choice among them.
+ */
+class EndpointPool
+{
+public:
+    EndpointPool(EventLoop &loop, EndpointPoolOptions options);
+    EndpointPool(const EndpointPool &) = delete;
+    EndpointPool &operator=(const EndpointPool &) = delete;
+
+    void setDirectory(const std::vector<Wire::EndpointStatus> &endpoints);
+    /** Takes over which endpoints an operator has drained. */
+    void setConfiguration(const Wire::Configuration &configuration);
+
+    /** Chooses an endpoint and logs the decision. \a prefixes are those of the request's prompt. */
+    RoutingDecision choose(RoutingRequest request, const std::vector<PrefixBlock> &prefixes, const std::string &requestId);
+
+    RunTicket started(const RoutingDecision &decision, const std::vector<PrefixBlock> &prefixes);
+    void firstToken(RunTicket &ticket);
+    void finished(const RunTicket &ticket, RunEnd end);
+
+    bool send(const std::string &endpoint, Wire::Envelope message);
+    std::uint64_t silentMs(const std::string &endpoint) const;
+    bool isConnected(const std::string &endpoint) const;
+    /** \returns the newest incarnation heard of, 0 when none was */
+    std::uint64_t incarnation(const std::string &endpoint) const;
+    /** \returns the endpoint process's own clock in its last report */
+    std::uint64_t gateTimeMs(const std::string &endpoint) const;
+
+    /** To be called a few times a second. */
+    void tick();
+
+private:
+    struct Known {
+        std::uint64_t incarnation = 0;
+        std::uint64_t gateTimeMs = 0;
+        unsigned entries = 1;
+        bool isListedLeaving = false;
+        bool isDrained = false;
+        std::string availabilityZone;
+        std::vector<ServedModel> served;
+    };
+
+    EndpointLinksOptions hooked(EndpointLinksOptions linkOptions);
+    void receive(const std::string &endpoint, const Wire::Envelope &message);
+    void takeReport(const std::string &endpoint, const Wire::LoadReport &report);
+    void announce(const std::string &endpoint, Known &known, std::uint64_t incarnation, std::vector<ServedModel> served);
+    double nowMs() const;
+
+    EventLoop &loop;
+    EndpointPoolOptions options;
+    EndpointTracker tracker;
+    PrefixIndex prefixes;
+    std::map<std::string, Known> endpoints;
+    RandomSource random;
+    EndpointLinks links;
+};
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/EntryContext.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "EndpointPool.h"
+#include "Metrics.h"
+#include "ReplicaClient.h"
+#include "RetryBudget.h"
+#include "SessionCache.h"
+
+#include "../Protocol/Settings.h"
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace Apricothead {
+
+class EventLoop;
+class RunRegistry;
+
+/** \class EntryContext
+ * \ingroup Coordination_Module
+ * \brief What the requests of one entry share. Owned by EntryTask, and used on its thread only.
+ */
+struct EntryContext {
+    EventLoop &loop;
+    const Settings &settings;
+    EndpointPool &pool;
+    RunRegistry &runs;
+    RetryBudget &retries;
+    SessionCache &sessions;
+    Metrics &metrics;
+    /** The newest configuration seen: a hint, the admission decides. */
+    std::function<const Wire::Configuration &()> configuration;
+    /** Proposes a command with the deadline of the settings. */
+    std::function<void(Wire::Command, std::function<void(const ProposeOutcome &)>)> propose;
+    /** Asks the rating service; \a done gets nothing when there is none or it is late. */
+    std::function<void(const std::string &body, std::chrono::milliseconds timeout, std::function<void(std::optional<double>)> done)> rate;
+};
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/EntryTask.cpp
@@ -0,0 +1,319 @@
+#include "EntryTask.h"
+
+#include "CallerApi.h"
+#include "EntryContext.h"
+#include "Rater.h"
+#include "RequestRun.h"
+#include "RunErrors.h"
+#include "RunRegistry.h"
+
+#include "../Protocol/CallerError.h"
+#include "../Protocol/KeyHash.h"
+#include "../State/ConfigurationLookup.h"
+#include "../Transport/EventLoop.h"
+#include "../Transport/HttpClient.h"
+#include "../Transport/HttpServer.h"
+#include "../Transport/Log.h"
+#include "../Transport/Timer.h"
+
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace Apricothead {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds TickInterval{100};
+/** After the shutdown bound: time for what was cut to tell its callers. */
+constexpr milliseconds CutGrace{500};
+constexpr unsigned PayloadTooLarge = 413;
+constexpr unsigned HeadersTooLarge = 431;
+constexpr unsigned DrawnIdBytes = 16;
+
+std::uint64_t wallClockMicros()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+CallerError serverRefusal(unsigned status)
+{
+    switch (status) {
+    case PayloadTooLarge:
+        return {.status = status, .code = "body-too-large", .field = "body", .message = "the body is larger than this entry takes"};
+    case HeadersTooLarge:
+        return {.status = status, .code = "headers-too-large", .field = "headers", .message = "the header fields are larger than this entry takes"};
+    default:
+        return {.status = status, .code = "refused", .message = "the request was refused"};
+    }
+}
+
+} // namespace
+
+struct EntryTask::Private {
+    Private(EventLoop &eventLoop, EntryTaskOptions options)
+        : loop(eventLoop)
+        , settings(std::move(options.settings))
+        , incarnation(wallClockMicros())
+        , http(eventLoop)
+        , rater(http, settings.entry->ratingUrl)
+        , pool(eventLoop, this->poolOptions())
+        , replicas(eventLoop, this->replicaOptions())
+        , context(this->makeContext())
+        , api(this->apiOptions())
+        , tick(eventLoop,
+               [this] {
+                   this->onTick();
+               })
+        , shutdown(eventLoop, [this] {
+            this->cutShort();
+        })
+    { }
+
+    EndpointPoolOptions poolOptions()
+    {
+        EndpointPoolOptions options;
+        options.availabilityZone = this->settings.availabilityZone;
+        options.tracker.silenceMs = static_cast<double>(this->settings.timing.endpointSilence.count());
+        options.links.group = this->settings.group;
+        options.links.process = this->settings.process;
+        options.links.incarnation = this->incarnation;
+        options.links.heartbeat = this->settings.timing.linkHeartbeat;
+        options.links.silence = this->settings.timing.linkSilence;
+        options.links.unlistedKept = this->settings.timing.endpointLost;
+        options.links.onConnected = [this](const std::string &endpoint) {
+            this->runs.linkConnected(endpoint);
+        };
+        options.links.onSilent = [](const std::string &) {};
+        options.links.onMessage = [this](const std::string &, const Wire::Envelope &message) {
+            this->runs.receive(message);
+        };
+        return options;
+    }
+
+    ReplicaClientOptions replicaOptions()
+    {
+        ReplicaClientOptions options;
+        options.group = this->settings.group;
+        options.process = this->settings.process;
+        options.incarnation = this->incarnation;
+        options.seeds = this->settings.seeds;
+        options.linkHeartbeat = this->settings.timing.linkHeartbeat;
+        options.linkSilence = this->settings.timing.linkSilence;
+        options.heartbeat = this->settings.timing.directoryHeartbeat;
+        options.describe = [this] {
+            return this->describe();
+        };
+        options.onConfiguration = [this](const Wire::Configuration &configuration) {
+            this->pool.setConfiguration(configuration);
+            logLine(LogLevel::Info, "configuration-in-force", {{"revision", configuration.revision()}});
+        };
+        options.onDirectory = [this](const std::vector<Wire::EndpointStatus> &endpoints) {
+            this->pool.setDirectory(endpoints);
+            this->pool.setConfiguration(this->replicas.configuration());
+        };
+        return options;
+    }
+
+    EntryContext makeContext()
+    {
+        return EntryContext{.loop = this->loop,
+                            .settings = this->settings,
+                            .pool = this->pool,
+                            .runs = this->runs,
+                            .retries = this->retries,
+                            .sessions = this->sessions,
+                            .metrics = this->metrics,
+                            .configuration = [this]() -> const Wire::Configuration & {
+                                return this->replicas.configuration();
+                            },
+                            .propose =
+                                [this](Wire::Command command, std::function<void(const ProposeOutcome &)> done) {
+                                    this->replicas.propose(std::move(command), this->settings.timing.proposal, std::move(done));
+                                },
+                            .rate =
+                                [this](const std::string &body, std::chrono::milliseconds timeout, std::function<void(std::optional<double>)> done) {
+                                    this->rater.rate(body, timeout, std::move(done));
+                                }};
+    }
+
+    CallerApiOptions apiOptions()
+    {
+        CallerApiOptions options;
+        options.configuration = [this]() -> const Wire::Configuration * {
+            const Wire::Configuration &configuration = this->replicas.configuration();
+            return configuration.revision() == 0 ? nullptr : &configuration;
+        };
+        options.isLeaving = [this] {
+            return this->isLeaving;
+        };
+        options.onRequest = [this](CallerRequest request, std::unique_ptr<CallerAnswer> answer) {
+            this->run(std::move(request), std::move(answer));
+        };
+        return options;
+    }
+
+    void start()
+    {
+        const EntrySettings &entry = *this->settings.entry;
+        HttpServerOptions options;
+        options.address = entry.callerAddress;
+        options.maxBodyBytes = entry.maxBodyBytes;
+        options.maxHeaderBytes = entry.maxHeaderBytes;
+        options.maxConnections = entry.maxConnections;
+        options.idleTimeout = entry.idleTimeout;
+        options.onRequest = [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
+            this->api.serve(request, reply);
+        };
+        options.errorBody = [](unsigned status) {
+            return callerErrorJson(serverRefusal(status), {});
+        };
+        options.errorHeaders = [] {
+            return HttpHeaders{{"X-Request-Id", randomHex(DrawnIdBytes)}, {"X-Verdict", "not-run"}};
+        };
+        this->server = std::make_unique<HttpServer>(this->loop, std::move(options));
+        this->tick.startRepeating(TickInterval);
+        logLine(LogLevel::Info, "entry-started", {{"callers", this->server->boundAddress()}});
+    }
+
+    void run(CallerRequest request, std::unique_ptr<CallerAnswer> answer)
+    {
+        const std::uint64_t number = this->nextRequest++;
+        const auto run = std::make_shared<RequestRun>(this->context, std::move(request), std::move(answer), [this, number] {
+            // Later: the request is still executing.
+            this->endedRequests.push_back(number);
+        });
+        this->requests[number] = run;
+        run->start();
+    }
+
+    Wire::Heartbeat describe() const
+    {
+        Wire::Heartbeat heartbeat;
+        heartbeat.add_roles("entry");
+        heartbeat.set_availability_zone(this->settings.availabilityZone);
+        heartbeat.set_region(this->settings.region);
+        heartbeat.set_leaving(this->isLeaving);
+        return heartbeat;
+    }
+
+    void onTick()
+    {
+        this->pool.tick();
+        this->runs.tick();
+        this->dropEnded();
+        this->checkStopped();
+    }
+
+    void dropEnded()
+    {
+        for (const std::uint64_t number : std::exchange(this->endedRequests, {})) {
+            this->requests.erase(number);
+        }
+    }
+
+    void stop(std::function<void()> hook)
+    {
+        this->stopped = std::move(hook);
+        this->isLeaving = true;
+        logLine(LogLevel::Info, "entry-leaving", {{"requests", std::uint64_t{this->requests.size()}}, {"runs", std::uint64_t{this->runs.size()}}});
+        this->replicas.heartbeatNow();
+        if (this->server) {
+            this->server->stopListening();
+        }
+        this->shutdown.startOnce(this->settings.timing.shutdown);
+    }
+
+    void checkStopped()
+    {
+        const bool isIdle = this->requests.empty() && this->runs.size() == 0 && (!this->server || this->server->openRequests() == 0);
+        if (!this->stopped || !isIdle) {
+            return;
+        }
+        this->endStop();
+    }
+
+    void endStop()
+    {
+        logLine(LogLevel::Info, "entry-stopped");
+        this->shutdown.stop();
+        this->tick.stop();
+        this->loop.post(std::exchange(this->stopped, {}));
+    }
+
+    void cutShort()
+    {
+        if (std::exchange(this->isCutting, true)) {
+            this->endStop();
+            return;
+        }
+        const auto open = this->requests;
+        for (const auto &[number, request] : open) {
+            logLine(LogLevel::Error, "request-cut-by-shutdown", {{"request", request->id()}});
+            request->cut(leavingError());
+        }
+        this->shutdown.startOnce(CutGrace);
+    }
+
+    EventLoop &loop;
+    Settings settings;
+    std::uint64_t incarnation;
+    HttpClient http;
+    Rater rater;
+    Metrics metrics;
+    RetryBudget retries;
+    SessionCache sessions;
+    RunRegistry runs;
+    EndpointPool pool;
+    ReplicaClient replicas;
+    EntryContext context;
+    CallerApi api;
+    Timer tick;
+    Timer shutdown;
+    std::map<std::uint64_t, std::shared_ptr<RequestRun>> requests;
+    std::vector<std::uint64_t> endedRequests;
+    std::uint64_t nextRequest = 0;
+    std::unique_ptr<HttpServer> server;
+    std::function<void()> stopped;
+    bool isLeaving = false;
+    bool isCutting = false;
+};
+
+EntryTask::EntryTask(EventLoop &loop, EntryTaskOptions options) : d(std::make_unique<Private>(loop, std::move(options)))
+{ }
+
+EntryTask::~EntryTask() = default;
+
+void EntryTask::start()
+{
+    this->d->start();
+}
+
+void EntryTask::stop(std::function<void()> stopped)
+{
+    this->d->stop(std::move(stopped));
+}
+
+std::string EntryTask::callerAddress() const
+{
+    return this->d->server ? this->d->server->boundAddress() : std::string();
+}
+
+std::size_t EntryTask::openRequests() const
+{
+    return this->d->requests.size();
+}
+
+ReplicaClient &EntryTask::replicas()
+{
+    return this->d->replicas;
+}
+
+Metrics &EntryTask::metrics()
+{
+    return this->d->metrics;
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/ModelList.cpp
@@ -0,0 +1,72 @@
+#include "ModelList.h"
+
+#include "../State/ConfigurationLookup.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Apricothead {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+bool hasAllowance(const Wire::Organisation &organisation, std::string_view model)
+{
+    return std::any_of(organisation.allowances().begin(), organisation.allowances().end(), [&](const Wire::Allowance &allowance) {
+        return allowance.model() == model;
+    });
+}
+
+bool mayUse(const Wire::Configuration &configuration, const Wire::Organisation &organisation, std::string_view id, Wire::ModelKind kind)
+{
+    const Wire::Model *model = findModel(configuration, id);
+    return model != nullptr && model->kind() == kind && hasAllowance(organisation, id);
+}
+
+Json describe(std::string_view id, const Wire::Configuration &configuration)
+{
+    constexpr std::int64_t MillisecondsPerSecond = 1000;
+    return {{"id", id}, {"object", "model"}, {"created", configuration.changed_at_ms() / MillisecondsPerSecond}, {"owned_by", "apricothead"}};
+}
+
+} // namespace
+
+bool mayUseChatModel(const Wire::Configuration &configuration, const Wire::Organisation &organisation, std::string_view id)
+{
+    const Wire::Cascade *cascade = findCascade(configuration, id);
+    if (cascade == nullptr) {
+        return mayUse(configuration, organisation, id, Wire::MODEL_KIND_CHAT);
+    }
+    return std::all_of(cascade->models().begin(), cascade->models().end(), [&](const std::string &model) {
+        return mayUse(configuration, organisation, model, Wire::MODEL_KIND_CHAT);
+    });
+}
+
+bool mayUseService(const Wire::Configuration &configuration, const Wire::Organisation &organisation, std::string_view id)
+{
+    return mayUse(configuration, organisation, id, Wire::MODEL_KIND_SERVICE);
+}
+
+std::string modelListJson(const Wire::Configuration &configuration, const Wire::Organisation &organisation)
+{
+    Json data = Json::array();
+    for (const Wire::Model &model : configuration.models()) {
+        if (mayUseChatModel(configuration, organisation, model.id())) {
+            data.push_back(describe(model.id(), configuration));
+        }
+    }
+    for (const Wire::Cascade &cascade : configuration.cascades()) {
+        if (mayUseChatModel(configuration, organisation, cascade.id())) {
+            data.push_back(describe(cascade.id(), configuration));
+        }
+    }
+    return Json{{"object", "list"}, {"data", data}}.dump();
+}
+
+std::string modelJson(const Wire::Configuration &configuration, const Wire::Organisation &organisation, std::string_view id)
+{
+    return mayUseChatModel(configuration, organisation, id) ? describe(id, configuration).dump() : std::string();
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/RequestRun.cpp
@@ -0,0 +1,342 @@
+#include "RequestRun.h"
+
+#include "RunErrors.h"
+#include "RunRegistry.h"
+
+#include "../Protocol/ChatAssembler.h"
+#include "../State/ConfigurationLookup.h"
+#include "../Transport/EventLoop.h"
+#include "../Transport/Log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricothead {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds DefaultRatingTimeout{2000};
+constexpr unsigned FirstErrorStatus = 400;
+constexpr unsigned FirstServerErrorStatus = 500;
+constexpr unsigned BadGateway = 502;
+/** Above it the endpoint process is given no further credit until the caller has taken bytes. */
+constexpr std::size_t QueuedBytesLimit = 256 * 1024;
+/** A held answer beyond this size is passed on without a rating. */
+constexpr std::size_t HeldBytesLimit = 4 * 1024 * 1024;
+constexpr std::size_t ErrorBodyLimit = 64 * 1024;
+
+std::vector<PrefixBlock> prefixesOf(const CallerRequest &request)
+{
+    const std::vector<std::string_view> messages(request.messages.begin(), request.messages.end());
+    return messages.empty() ? std::vector<PrefixBlock>() : prefixChain(messages);
+}
+
+} // namespace
+
+RequestRun::RequestRun(EntryContext &entryContext, CallerRequest callerRequest, std::unique_ptr<CallerAnswer> callerAnswer, std::function<void()> hook)
+    : context(entryContext)
+    , request(std::make_shared<const CallerRequest>(std::move(callerRequest)))
+    , answer(std::move(callerAnswer))
+    , endedHook(std::move(hook))
+    , keepAlive(entryContext.loop,
+                [this] {
+                    this->answer->keepAlive(this->current ? this->current->version() : std::string());
+                })
+    , prefixes(prefixesOf(*request))
+{ }
+
+void RequestRun::start()
+{
+    this->startedMs = this->context.loop.nowMs();
+    this->planSteps();
+    const std::weak_ptr<RequestRun> weak = this->weak_from_this();
+    this->answer->onDisconnect([weak] {
+        if (const std::shared_ptr<RequestRun> self = weak.lock()) {
+            self->leave();
+        }
+    });
+    this->answer->onDrained([weak] {
+        const std::shared_ptr<RequestRun> self = weak.lock();
+        if (self && self->current) {
+            self->current->resume();
+        }
+    });
+    this->keepAlive.startRepeating(this->context.settings.entry->keepAlive);
+    this->startStep();
+}
+
+void RequestRun::planSteps()
+{
+    const Wire::Cascade *cascade = findCascade(this->context.configuration(), this->request->model);
+    if (cascade == nullptr || !this->request->payload.chat()) {
+        this->models = {this->request->model};
+        return;
+    }
+    this->models.assign(cascade->models().begin(), cascade->models().end());
+    this->ratingThreshold = cascade->rating_threshold();
+    this->ratingTimeout = cascade->rating_timeout_ms() > 0 ? milliseconds(cascade->rating_timeout_ms()) : DefaultRatingTimeout;
+}
+
+void RequestRun::startStep()
+{
+    const std::weak_ptr<RequestRun> weak = this->weak_from_this();
+    StepRunOptions options;
+    options.request = this->request;
+    options.step = static_cast<unsigned>(this->step);
+    options.model = this->models[this->step];
+    options.prefixes = this->prefixes;
+    options.onHead = [weak](unsigned status, const std::string &contentType, const std::string &version) {
+        if (const std::shared_ptr<RequestRun> self = weak.lock()) {
+            self->takeHead(status, contentType, version);
+        }
+    };
+    options.onChunk = [weak](std::string_view data) {
+        if (const std::shared_ptr<RequestRun> self = weak.lock()) {
+            self->takeChunk(data);
+        }
+    };
+    options.onEnd = [weak](const StepEnd &stepEnd) {
+        if (const std::shared_ptr<RequestRun> self = weak.lock()) {
+            self->takeEnd(stepEnd);
+        }
+    };
+    options.hasStarted = [weak] {
+        const std::shared_ptr<RequestRun> self = weak.lock();
+        return self && self->answer->hasStarted();
+    };
+    options.isTaking = [weak] {
+        const std::shared_ptr<RequestRun> self = weak.lock();
+        return !self || self->answer->queuedBytes() < QueuedBytesLimit;
+    };
+    this->current = std::make_shared<StepRun>(this->context, std::move(options));
+    Wire::RequestKey key;
+    key.set_organisation(this->request->organisation);
+    key.set_key(this->request->id);
+    key.set_step(static_cast<std::uint32_t>(this->step));
+    this->context.runs.add(this->current, key);
+    // Kept by the registry too: start() may end this request.
+    const std::shared_ptr<StepRun> started = this->current;
+    started->start();
+}
+
+bool RequestRun::isLastStep() const
+{
+    return this->step + 1 >= this->models.size();
+}
+
+bool RequestRun::isErrorAnswer() const
+{
+    return this->request->payload.chat() && this->head.status >= FirstErrorStatus;
+}
+
+void RequestRun::takeHead(unsigned status, const std::string &contentType, const std::string &version)
+{
+    this->head
+        = {.status = status, .contentType = contentType, .version = version, .verdict = status >= FirstServerErrorStatus ? Verdict::MayHaveRun : Verdict::Ran};
+    this->errorBody.clear();
+    this->held = {.head = this->head};
+    if (this->isLastStep() && !this->isErrorAnswer()) {
+        this->answer->begin(this->head);
+    }
+}
+
+void RequestRun::takeChunk(std::string_view data)
+{
+    if (this->firstByteMs == 0) {
+        this->firstByteMs = this->context.loop.nowMs();
+        this->context.metrics.observe("first_chunk_ms", this->head.version, static_cast<double>(this->firstByteMs - this->startedMs));
+    }
+    if (this->isErrorAnswer()) {
+        this->errorBody.append(data.substr(0, ErrorBodyLimit - std::min(ErrorBodyLimit, this->errorBody.size())));
+        return;
+    }
+    if (this->isLastStep()) {
+        this->answer->chunk(data);
+        return;
+    }
+    this->held.chunks.emplace_back(data);
+    this->held.bytes += data.size();
+}
+
+void RequestRun::takeEnd(const StepEnd &stepEnd)
+{
+    if (this->isLastStep()) {
+        this->endDirect(stepEnd);
+    } else {
+        this->endHeld(stepEnd);
+    }
+}
+
+void RequestRun::endDirect(const StepEnd &stepEnd)
+{
+    if (stepEnd.isWhole) {
+        this->finishAnswer(stepEnd.version);
+        return;
+    }
+    const bool mayFallBack = this->best.isWhole && !this->answer->hasStarted();
+    if (mayFallBack) {
+        this->held = std::move(this->best);
+        this->deliverHeld();
+        return;
+    }
+    this->failAnswer(this->engineError(stepEnd));
+}
+
+void RequestRun::endHeld(const StepEnd &stepEnd)
+{
+    this->former = combined(this->former, stepEnd.isWhole ? Verdict::Ran : stepEnd.error.verdict);
+    if (!stepEnd.isWhole) {
+        // A caller's own mistake fails at every model.
+        const bool isCallersMistake = stepEnd.error.status >= FirstErrorStatus && stepEnd.error.status < FirstServerErrorStatus;
+        if (isCallersMistake && stepEnd.error.code != "answer-gone") {
+            this->failAnswer(this->engineError(stepEnd));
+            return;
+        }
+        this->nextStep();
+        return;
+    }
+    this->held.isWhole = true;
+    if (this->held.bytes > HeldBytesLimit) {
+        this->deliverHeld();
+        return;
+    }
+    this->context.rate(this->ratingRequest(), this->ratingTimeout, [weak = this->weak_from_this()](std::optional<double> rating) {
+        if (const std::shared_ptr<RequestRun> self = weak.lock()) {
+            self->decideOn(rating);
+        }
+    });
+}
+
+void RequestRun::decideOn(std::optional<double> rating)
+{
+    if (this->isEnded) {
+        return;
+    }
+    const bool isGoodEnough = !rating || *rating >= this->ratingThreshold;
+    logLine(LogLevel::Info,
+            "cascade-decision",
+            {{"request", this->request->id},
+             {"model", this->models[this->step]},
+             {"rating", rating.value_or(-1)},
+             {"threshold", this->ratingThreshold},
+             {"decision", std::string(isGoodEnough ? "deliver" : "next-model")}});
+    if (isGoodEnough) {
+        this->deliverHeld();
+        return;
+    }
+    this->best = std::move(this->held);
+    this->nextStep();
+}
+
+void RequestRun::deliverHeld()
+{
+    this->answer->begin(this->held.head);
+    for (const std::string &chunk : this->held.chunks) {
+        this->answer->chunk(chunk);
+    }
+    this->finishAnswer(this->held.head.version);
+}
+
+void RequestRun::nextStep()
+{
+    ++this->step;
+    this->startStep();
+}
+
+CallerError RequestRun::engineError(const StepEnd &stepEnd) const
+{
+    CallerError error = stepEnd.error;
+    error.verdict = combined(this->former, error.verdict);
+    if (!this->isErrorAnswer()) {
+        return error;
+    }
+    // The engine's own refusal of the request is the caller's to mend; its failures are not.
+    error.status = this->head.status < FirstServerErrorStatus ? this->head.status : BadGateway;
+    error.code = "engine-error";
+    const nlohmann::json body = nlohmann::json::parse(this->errorBody, nullptr, false);
+    const auto engine = body.is_object() ? body.find("error") : body.end();
+    if (body.is_object() && engine != body.end() && engine->is_object() && engine->contains("message") && (*engine)["message"].is_string()) {
+        error.message = (*engine)["message"].get<std::string>();
+    }
+    return error;
+}
+
+std::string RequestRun::ratingRequest() const
+{
+    ChatAssembler assembler;
+    for (const std::string &chunk : this->held.chunks) {
+        assembler.take(chunk);
+    }
+    const nlohmann::json asked = nlohmann::json::parse(this->request->payload.body(), nullptr, false);
+    const nlohmann::json rating{{"model", this->models[this->step]}, {"version", this->held.head.version}, {"request", asked}, {"answer", assembler.text()}};
+    return rating.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void RequestRun::finishAnswer(const std::string &version)
+{
+    this->answer->finish();
+    this->ended(version, Verdict::Ran, this->head.status);
+}
+
+void RequestRun::failAnswer(CallerError error)
+{
+    this->answer->fail(error);
+    this->ended(error.code, error.verdict, error.status);
+}
+
+void RequestRun::cut(const CallerError &error)
+{
+    if (this->isEnded) {
+        return;
+    }
+    CallerError told = error;
+    told.verdict = this->current ? combined(this->former, combined(this->current->verdict(), error.verdict)) : error.verdict;
+    if (this->current) {
+        this->current->leave();
+    }
+    this->failAnswer(std::move(told));
+}
+
+void RequestRun::leave()
+{
+    if (this->isEnded) {
+        return;
+    }
+    if (this->current) {
+        this->current->leave();
+    }
+    constexpr unsigned ClientClosedRequest = 499;
+    this->ended("caller-left", this->current ? this->current->verdict() : Verdict::NotRun, ClientClosedRequest);
+}
+
+void RequestRun::ended(std::string_view how, Verdict verdict, unsigned status)
+{
+    if (std::exchange(this->isEnded, true)) {
+        return;
+    }
+    this->keepAlive.stop();
+    const std::uint64_t now = this->context.loop.nowMs();
+    logLine(LogLevel::Info,
+            "request-ended",
+            {{"request", this->request->id},
+             {"organisation", this->request->organisation},
+             {"model", this->request->model},
+             {"how", std::string(how)},
+             {"verdict", std::string(verdictName(verdict))},
+             {"status", std::uint64_t{status}},
+             {"steps", std::uint64_t{this->step + 1}},
+             {"firstByteMs", this->firstByteMs == 0 ? std::uint64_t{0} : this->firstByteMs - this->startedMs},
+             {"tookMs", now - this->startedMs}});
+    this->context.metrics.count("requests", verdictName(verdict));
+    this->endedHook();
+}
+
+const std::string &RequestRun::id() const
+{
+    return this->request->id;
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/RequestRun.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "CallerAnswer.h"
+#include "EntryContext.h"
+#include "StepRun.h"
+
+#include "../Transport/Timer.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Apricothead {
+
+/** \class RequestRun
+ * \ingroup Coordination_Module
+ * \brief One caller's request from its admission to its answer: one step, or for a cascade one step for each model tried.
+ */
+class RequestRun : public std::enable_shared_from_this<RequestRun>
+{
+public:
+    /** \a ended is called once, when the caller has its answer or has left. */
+    RequestRun(EntryContext &context, CallerRequest request, std::unique_ptr<CallerAnswer> answer, std::function<void()> ended);
+    RequestRun(const RequestRun &) = delete;
+    RequestRun &operator=(const RequestRun &) = delete;
+
+    void start();
+    /** Ends the request with \a error although it may still run. */
+    void cut(const CallerError &error);
+
+    const std::string &id() const;
+
+private:
+    /** A step's answer, held back until it is known whether the next model has to be asked. */
+    struct HeldAnswer {
+        AnswerHead head;
+        std::vector<std::string> chunks;
+        std::size_t bytes = 0;
+        bool isWhole = false;
+    };
+
+    void planSteps();
+    void startStep();
+    bool isLastStep() const;
+    bool isErrorAnswer() const;
+    void takeHead(unsigned status, const std::string &contentType, const std::string &version);
+    void takeChunk(std::string_view data);
+    void takeEnd(const StepEnd &stepEnd);
+    void endDirect(const StepEnd &stepEnd);
+    void endHeld(const StepEnd &stepEnd);
+    void decideOn(std::optional<double> rating);
+    void deliverHeld();
+    void nextStep();
+    CallerError engineError(const StepEnd &stepEnd) const;
+    std::string ratingRequest() const;
+    void finishAnswer(const std::string &version);
+    void failAnswer(CallerError error);
+    void leave();
+    void ended(std::string_view how, Verdict verdict, unsigned status);
+
+    EntryContext &context;
+    std::shared_ptr<const CallerRequest> request;
+    std::unique_ptr<CallerAnswer> answer;
+    std::function<void()> endedHook;
+    Timer keepAlive;
+    std::vector<PrefixBlock> prefixes;
+    std::vector<std::string> models;
+    double ratingThreshold = 0;
+    std::chrono::milliseconds ratingTimeout{0};
+    std::size_t step = 0;
+    std::shared_ptr<StepRun> current;
+    AnswerHead head;
+    std::string errorBody;
+    HeldAnswer held;
+    HeldAnswer best;
+    std::uint64_t startedMs = 0;
+    std::uint64_t firstByteMs = 0;
+    Verdict former = Verdict::NotRun;
+    bool isEnded = false;
+};
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/RunErrors.cpp
@@ -0,0 +1,140 @@
+#include "RunErrors.h"
+
+#include "../Protocol/WireVerdict.h"
+
+namespace Apricothead {
+namespace {
+
+constexpr unsigned Forbidden = 403;
+constexpr unsigned NotFound = 404;
+constexpr unsigned Conflict = 409;
+constexpr unsigned UnprocessableContent = 422;
+constexpr unsigned BadGateway = 502;
+constexpr unsigned Unavailable = 503;
+constexpr unsigned GatewayTimeout = 504;
+
+constexpr unsigned SoonSeconds = 1;
+constexpr unsigned LaterSeconds = 5;
+
+CallerError unavailable(std::string code, std::string message, unsigned retryAfterSeconds = SoonSeconds)
+{
+    return {.status = Unavailable, .code = std::move(code), .message = std::move(message), .retryAfterSeconds = retryAfterSeconds};
+}
+
+CallerError sessionWithdrawn()
+{
+    return {.status = Conflict,
+            .code = "session-version-withdrawn",
+            .field = "x-session-id",
+            .message = "the version that this session keeps was withdrawn; start a new session"};
+}
+
+CallerError notAllowed(const std::string &message)
+{
+    return {.status = Forbidden, .code = "not-allowed", .field = "model", .message = message};
+}
+
+} // namespace
+
+CallerError noVersionError(const std::string &reason, const std::string &model)
+{
+    if (reason == "session-version-withdrawn") {
+        return sessionWithdrawn();
+    }
+    if (reason == "no-active-version") {
+        return unavailable(reason, "model " + model + " has no active version that your organisation may use", LaterSeconds);
+    }
+    return notAllowed("your organisation may not use model " + model + " (" + reason + ")");
+}
+
+CallerError noEndpointError(const std::string &reason)
+{
+    return unavailable(reason, "no endpoint can take the request now");
+}
+
+CallerError admissionError(const Wire::Error &error)
+{
+    switch (error.code()) {
+    case Wire::ERROR_CODE_SESSION_VERSION_WITHDRAWN:
+        return sessionWithdrawn();
+    case Wire::ERROR_CODE_NOT_ALLOWED:
+        return notAllowed("your organisation may not use this model or version");
+    case Wire::ERROR_CODE_NOT_FOUND:
+        return {.status = NotFound, .code = "model-not-found", .field = "model", .message = "the model or its version is unknown"};
+    case Wire::ERROR_CODE_KEY_REUSED:
+        return {.status = UnprocessableContent,
+                .code = "key-reused",
+                .field = "idempotency-key",
+                .message = "this key was used for another request; this one did not run"};
+    case Wire::ERROR_CODE_RETIRED:
+        return {.status = Conflict,
+                .code = "key-retired",
+                .field = "idempotency-key",
+                .message = "a request with this key ended long ago; its answer is gone",
+                .verdict = Verdict::MayHaveRun};
+    case Wire::ERROR_CODE_PROOF_MISSING:
+        return {.status = Conflict,
+                .code = "may-have-run",
+                .field = "idempotency-key",
+                .message = "an earlier attempt may have run, and the request is not repeatable",
+                .verdict = Verdict::MayHaveRun};
+    case Wire::ERROR_CODE_INVALID:
+        return {.status = UnprocessableContent, .code = "invalid-admission", .field = error.field(), .message = error.message()};
+    default:
+        return unavailable("not-admitted", error.message());
+    }
+}
+
+CallerError noQuorumError()
+{
+    return unavailable("no-quorum", "the request could not be admitted: no majority of the replicas answered in time");
+}
+
+CallerError leavingError()
+{
+    return unavailable("leaving", "this entry is stopping; send the request again");
+}
+
+CallerError deadlineError(Verdict verdict)
+{
+    return {
+        .status = GatewayTimeout, .code = "deadline", .message = "no answer came within the deadline", .verdict = verdict, .retryAfterSeconds = SoonSeconds};
+}
+
+CallerError refusedRunError(Wire::RefusalReason reason, Verdict verdict)
+{
+    CallerError error = reason == Wire::REFUSAL_REASON_FULL ? unavailable("overloaded", "the endpoints are full")
+                                                            : unavailable("endpoint-refused", "the endpoint refused the request");
+    error.verdict = verdict;
+    return error;
+}
+
+CallerError lostRunError(Verdict verdict)
+{
+    return {.status = BadGateway, .code = "endpoint-lost", .message = "the endpoint was lost while it had the request", .verdict = verdict};
+}
+
+CallerError brokenRunError(const Wire::RunDone &done)
+{
+    CallerError error{.status = BadGateway, .code = "answer-cut", .verdict = verdictOf(done.verdict())};
+    error.message = done.error().empty() ? "the answer broke off" : done.error();
+    if (done.outcome() == Wire::OUTCOME_FAILED) {
+        error.code = "endpoint-failed";
+    }
+    if (done.outcome() == Wire::OUTCOME_CANCELLED) {
+        error.code = "cancelled";
+    }
+    return error;
+}
+
+CallerError answerGoneError(const Wire::RequestRecord &record)
+{
+    const bool isCertain = record.outcome() == Wire::OUTCOME_WHOLE;
+    return {.status = Conflict,
+            .code = "answer-gone",
+            .field = "idempotency-key",
+            .message = "a request with this key ended before, and its answer is no longer kept",
+            .verdict = isCertain ? Verdict::Ran : Verdict::MayHaveRun};
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/RunRegistry.cpp
@@ -0,0 +1,88 @@
+#include "RunRegistry.h"
+
+#include "StepRun.h"
+
+#include <optional>
+
+namespace Apricothead {
+namespace {
+
+struct RunName {
+    const Wire::RequestKey *key = nullptr;
+    unsigned attempt = 0;
+};
+
+std::optional<RunName> runNameOf(const Wire::Envelope &message)
+{
+    switch (message.body_case()) {
+    case Wire::Envelope::kRunStarted:
+        return RunName{.key = &message.run_started().key(), .attempt = message.run_started().attempt()};
+    case Wire::Envelope::kChunk:
+        return RunName{.key = &message.chunk().key(), .attempt = message.chunk().attempt()};
+    case Wire::Envelope::kRunDone:
+        return RunName{.key = &message.run_done().key(), .attempt = message.run_done().attempt()};
+    case Wire::Envelope::kRunRefused:
+        return RunName{.key = &message.run_refused().key(), .attempt = message.run_refused().attempt()};
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+void RunRegistry::add(const std::shared_ptr<StepRun> &run, const Wire::RequestKey &key)
+{
+    this->runs.emplace(Key(key.organisation(), key.key(), key.step()), run);
+}
+
+void RunRegistry::receive(const Wire::Envelope &message)
+{
+    const std::optional<RunName> name = runNameOf(message);
+    if (!name) {
+        return;
+    }
+    const auto [first, last] = this->runs.equal_range(Key(name->key->organisation(), name->key->key(), name->key->step()));
+    std::vector<std::shared_ptr<StepRun>> receivers;
+    for (auto run = first; run != last; ++run) {
+        if (run->second->isRun(*name->key, name->attempt)) {
+            receivers.push_back(run->second);
+        }
+    }
+    for (const std::shared_ptr<StepRun> &run : receivers) {
+        run->receive(message);
+    }
+}
+
+void RunRegistry::linkConnected(const std::string &endpoint)
+{
+    for (const std::shared_ptr<StepRun> &run : this->all()) {
+        run->linkConnected(endpoint);
+    }
+}
+
+void RunRegistry::tick()
+{
+    for (const std::shared_ptr<StepRun> &run : this->all()) {
+        run->tick();
+    }
+    std::erase_if(this->runs, [](const auto &entry) {
+        return entry.second->isFinished();
+    });
+}
+
+std::size_t RunRegistry::size() const
+{
+    return this->runs.size();
+}
+
+std::vector<std::shared_ptr<StepRun>> RunRegistry::all() const
+{
+    std::vector<std::shared_ptr<StepRun>> copies;
+    copies.reserve(this->runs.size());
+    for (const auto &[key, run] : this->runs) {
+        copies.push_back(run);
+    }
+    return copies;
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Protocol/ChatAssembler.cpp
@@ -0,0 +1,190 @@
+#include "ChatAssembler.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+namespace Apricothead {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+/** Fields whose text is sent once and not in pieces. */
+constexpr std::array<std::string_view, 4> WholeFields{"role", "id", "type", "name"};
+
+bool isWholeField(std::string_view name)
+{
+    return std::find(WholeFields.begin(), WholeFields.end(), name) != WholeFields.end();
+}
+
+void setWhereMissing(Json &object, const std::string &name, const Json &value)
+{
+    if (!object.contains(name)) {
+        object[name] = value;
+    }
+}
+
+void mergeObject(Json &target, const Json &piece);
+
+/** Elements of a list in pieces carry their place as \c index. */
+void mergeList(Json &target, const Json &pieces)
+{
+    if (!target.is_array()) {
+        target = Json::array();
+    }
+    for (const Json &piece : pieces) {
+        const auto index = piece.is_object() ? piece.find("index") : piece.end();
+        if (!piece.is_object() || index == piece.end()) {
+            target.push_back(piece);
+            continue;
+        }
+        const auto known = std::find_if(target.begin(), target.end(), [&](const Json &element) {
+            return element.is_object() && element.contains("index") && element["index"] == *index;
+        });
+        if (known == target.end()) {
+            target.push_back(piece);
+            continue;
+        }
+        mergeObject(*known, piece);
+    }
+}
+
+void mergeField(Json &target, const std::string &name, const Json &piece)
+{
+    Json &field = target[name];
+    if (piece.is_null() && !field.is_null()) {
+        return;
+    }
+    if (piece.is_string() && field.is_string() && !isWholeField(name)) {
+        field = field.get_ref<const std::string &>() + piece.get_ref<const std::string &>();
+        return;
+    }
+    if (piece.is_array()) {
+        mergeList(field, piece);
+        return;
+    }
+    if (piece.is_object() && field.is_object()) {
+        mergeObject(field, piece);
+        return;
+    }
+    field = piece;
+}
+
+void mergeObject(Json &target, const Json &piece)
+{
+    for (const auto &[name, value] : piece.items()) {
+        mergeField(target, name, value);
+    }
+}
+
+} // namespace
+
+struct ChatAssembler::Private {
+    struct Choice {
+        Json message = Json::object();
+        Json finishReason;
+        Json logprobs;
+    };
+
+    void takeChoice(const Json &piece)
+    {
+        Choice &choice = this->choices[piece.value("index", 0)];
+        const auto delta = piece.find("delta");
+        if (delta != piece.end() && delta->is_object()) {
+            mergeObject(choice.message, *delta);
+        }
+        const auto reason = piece.find("finish_reason");
+        if (reason != piece.end() && !reason->is_null()) {
+            choice.finishReason = *reason;
+        }
+        const auto logprobs = piece.find("logprobs");
+        if (logprobs != piece.end() && logprobs->is_object()) {
+            if (!choice.logprobs.is_object()) {
+                choice.logprobs = Json::object();
+            }
+            mergeObject(choice.logprobs, *logprobs);
+        }
+    }
+
+    Json head = Json::object();
+    Json usage;
+    std::map<int, Choice> choices;
+};
+
+ChatAssembler::ChatAssembler() : d(std::make_unique<Private>())
+{ }
+
+ChatAssembler::~ChatAssembler() = default;
+
+bool ChatAssembler::take(std::string_view text)
+{
+    const Json event = Json::parse(text, nullptr, false);
+    if (!event.is_object()) {
+        return false;
+    }
+    for (const auto &[name, value] : event.items()) {
+        if (name == "choices" || name == "object" || name == "usage") {
+            continue;
+        }
+        setWhereMissing(this->d->head, name, value);
+    }
+    const auto usage = event.find("usage");
+    if (usage != event.end() && usage->is_object()) {
+        this->d->usage = *usage;
+    }
+    const auto choices = event.find("choices");
+    if (choices == event.end() || !choices->is_array()) {
+        return true;
+    }
+    for (const Json &choice : *choices) {
+        if (!choice.is_object()) {
+            continue;
+        }
+        this->d->takeChoice(choice);
+    }
+    return true;
+}
+
+std::string ChatAssembler::completion() const
+{
+    Json body = this->d->head;
+    body["object"] = "chat.completion";
+    body["choices"] = Json::array();
+    for (const auto &[index, choice] : this->d->choices) {
+        Json message = choice.message;
+        setWhereMissing(message, "role", "assistant");
+        setWhereMissing(message, "content", nullptr);
+        for (Json &call : message.contains("tool_calls") ? message["tool_calls"] : Json::array()) {
+            call.erase("index");
+        }
+        body["choices"].push_back({{"index", index}, {"message", message}, {"logprobs", choice.logprobs}, {"finish_reason", choice.finishReason}});
+    }
+    if (!this->d->usage.is_null()) {
+        body["usage"] = this->d->usage;
+    }
+    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string ChatAssembler::text() const
+{
+    if (this->d->choices.empty()) {
+        return {};
+    }
+    const Json &message = this->d->choices.begin()->second.message;
+    const auto content = message.find("content");
+    return content != message.end() && content->is_string() ? content->get<std::string>() : std::string();
+}
+
+bool isUsageEvent(std::string_view text)
+{
+    // Most events have choices: only the others are worth parsing.
+    if (text.find("\"choices\":[]") == std::string_view::npos && text.find("\"choices\": []") == std::string_view::npos) {
+        return false;
+    }
+    const Json event = Json::parse(text, nullptr, false);
+    return event.is_object() && event.contains("usage") && event.contains("choices") && event["choices"].empty();
+}
+
+} // namespace Apricothead
--- a/Apricothead/src/Transport/HttpServer.cpp
+++ b/Apricothead/src/Transport/HttpServer.cpp
@@ -236,7 +236,9 @@
     {
         const std::string body = this->options.errorBody ? this->options.errorBody(status) : std::string();
         exchange.closeAfterAnswer();
-        exchange.send(status, {{"content-type", "application/json"}}, body);
+        HttpHeaders headers = this->options.errorHeaders ? this->options.errorHeaders() : HttpHeaders();
+        headers["Content-Type"] = "application/json";
+        exchange.send(status, headers, body);
         return exchange.queueAnswer() ? MHD_YES : MHD_NO;
     }
 
@@ -376,6 +378,13 @@
     return MHD_get_daemon_info(this->d->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
 }
 
+std::size_t HttpServer::openRequests() const
+{
+    return static_cast<std::size_t>(std::count_if(this->d->exchanges.begin(), this->d->exchanges.end(), [](const auto &entry) {
+        return entry.second->isServed;
+    }));
+}
+
 std::string HttpServer::boundAddress() const
 {
     return this->d->boundAddress;
--- a/Apricothead/src/Transport/HttpServer.h
+++ b/Apricothead/src/Transport/HttpServer.h
@@ -79,6 +79,8 @@
     std::function<void(HttpRequest, std::shared_ptr<HttpReply>)> onRequest;
     /** Makes the body of a refusal by the server itself (413, 431), with the fitting content type application/json. */
     std::function<std::string(unsigned status)> errorBody;
+    /** Further header fields of such a refusal; may be empty. */
+    std::function<HttpHeaders()> errorHeaders;
 };
 
 /** \class HttpServer
@@ -97,6 +99,8 @@
     void stopListening();
 
     std::size_t openConnections() const;
+    /** \returns requests that were handed to onRequest and whose answers are not sent whole yet */
+    std::size_t openRequests() const;
     std::string boundAddress() const;
 
 private:
