--- /dev/null
+++ b/Apricothead/src/Coordination/Placement.cpp
@@ -0,0 +1,284 @@
+#include "Placement.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Apricothead {
+
+namespace {
+
+constexpr double MsPerSecond = 1000;
+
+bool holds(const PlacementEndpoint &endpoint, const std::string &version)
+{
+    return std::find(endpoint.loaded.begin(), endpoint.loaded.end(), version) != endpoint.loaded.end();
+}
+
+/** \brief One round of decisions: works on copies of the endpoints as its orders would leave them. */
+class Planner
+{
+public:
+    Planner(const std::vector<PlacementVersion> &wanted,
+            const std::vector<PlacementEndpoint> &pool,
+            const PlacementMemory &former,
+            const PlacementOptions &bounds,
+            double now)
+        : versions(wanted), endpoints(pool), memory(former), options(bounds), nowMs(now)
+    {
+        if (this->memory.allowanceBytes < 0) {
+            this->memory.allowanceBytes = bounds.storeBurstBytes;
+        } else {
+            const double inflow = std::max(0.0, now - former.allowanceAtMs) / MsPerSecond * bounds.storeBytesPerSecond;
+            this->memory.allowanceBytes = std::min(bounds.storeBurstBytes, former.allowanceBytes + inflow);
+        }
+        this->memory.allowanceAtMs = now;
+        this->loads = static_cast<unsigned>(std::count_if(pool.begin(), pool.end(), [](const PlacementEndpoint &endpoint) {
+            return !endpoint.loading.empty();
+        }));
+    }
+
+    PlacementDecision decide()
+    {
+        for (const PlacementVersion &version : this->versions) {
+            this->removeUnwanted(version);
+        }
+        // Versions without a copy come first, then the most crowded.
+        std::vector<const PlacementVersion *> order;
+        order.reserve(this->versions.size());
+        for (const PlacementVersion &version : this->versions) {
+            order.push_back(&version);
+        }
+        std::stable_sort(order.begin(), order.end(), [this](const PlacementVersion *a, const PlacementVersion *b) {
+            return this->use(*a) > this->use(*b);
+        });
+        for (const PlacementVersion *version : order) {
+            this->addCopies(*version);
+        }
+        for (const PlacementVersion &version : this->versions) {
+            this->noteBelow(version);
+        }
+        this->decision.memory = this->memory;
+        return this->decision;
+    }
+
+private:
+    unsigned copies(const std::string &version) const
+    {
+        return static_cast<unsigned>(std::count_if(this->endpoints.begin(), this->endpoints.end(), [&version](const PlacementEndpoint &endpoint) {
+            return endpoint.usable && holds(endpoint, version);
+        }));
+    }
+
+    unsigned copiesComing(const std::string &version) const
+    {
+        return static_cast<unsigned>(std::count_if(this->endpoints.begin(), this->endpoints.end(), [&version](const PlacementEndpoint &endpoint) {
+            return endpoint.usable && endpoint.loading == version;
+        }));
+    }
+
+    /** An endpoint with several versions gives each an equal part of its batch. */
+    double capacity(const std::string &version) const
+    {
+        double sum = 0;
+        for (const PlacementEndpoint &endpoint : this->endpoints) {
+            if (endpoint.usable && holds(endpoint, version)) {
+                sum += static_cast<double>(endpoint.capacity) / static_cast<double>(endpoint.loaded.size());
+            }
+        }
+        return sum;
+    }
+
+    double use(const PlacementVersion &version) const
+    {
+        const double available = this->capacity(version.version);
+        if (available > 0) {
+            return version.demand / available;
+        }
+        return version.inUse || version.demand > 0 ? 1e9 : 0;
+    }
+
+    PlacementMemory::Since &sinceOf(const std::string &version)
+    {
+        for (PlacementMemory::Since &since : this->memory.since) {
+            if (since.version == version) {
+                return since;
+            }
+        }
+        this->memory.since.push_back({.version = version});
+        return this->memory.since.back();
+    }
+
+    /** \returns true once the condition has held without a break for the hold time */
+    bool heldFor(double &sinceMs, bool holdsNow) const
+    {
+        if (!holdsNow) {
+            sinceMs = 0;
+            return false;
+        }
+        if (sinceMs <= 0) {
+            sinceMs = this->nowMs;
+        }
+        return this->nowMs - sinceMs >= this->options.holdMs;
+    }
+
+    bool isFree(const PlacementEndpoint &endpoint) const
+    {
+        return endpoint.usable && endpoint.loading.empty() && !this->ordered.contains(endpoint.endpoint);
+    }
+
+    void unload(PlacementEndpoint &endpoint, const std::string &version, const std::string &reason, double value)
+    {
+        std::erase(endpoint.loaded, version);
+        this->ordered.insert(endpoint.endpoint);
+        this->decision.orders.push_back(
+            {.endpoint = endpoint.endpoint, .incarnation = endpoint.incarnation, .unload = version, .reason = reason, .value = value});
+    }
+
+    void removeUnwanted(const PlacementVersion &version)
+    {
+        const bool unused = !version.inUse && version.demand <= 0;
+        if (!version.withdrawn && !unused) {
+            return;
+        }
+        for (PlacementEndpoint &endpoint : this->endpoints) {
+            if (this->isFree(endpoint) && holds(endpoint, version.version)) {
+                this->unload(endpoint, version.version, version.withdrawn ? "withdrawn" : "not-in-use", 0);
+            }
+        }
+    }
+
+    void addCopies(const PlacementVersion &version)
+    {
+        if (version.withdrawn || (!version.inUse && version.demand <= 0)) {
+            return;
+        }
+        const unsigned have = this->copies(version.version);
+        const unsigned coming = this->copiesComing(version.version);
+        if (have + coming < std::max(1U, version.leastCopies)) {
+            this->load(version, have == 0 ? "no-copy" : "zone-without-copy", have);
+            return;
+        }
+        const double use = this->use(version);
+        const bool above = this->heldFor(this->sinceOf(version.version).aboveMs, use > this->options.addAbove);
+        // A copy under way must show its effect before the next is judged.
+        if (above && coming == 0) {
+            this->load(version, "demand-above", use);
+        }
+    }
+
+    void load(const PlacementVersion &version, const std::string &reason, double value)
+    {
+        if (this->loads >= this->options.loadsAtOnce || this->memory.allowanceBytes < version.weightBytes) {
+            return;
+        }
+        PlacementEndpoint *best = nullptr;
+        double bestScore = 0;
+        std::string victim;
+        for (PlacementEndpoint &endpoint : this->endpoints) {
+            if (!this->isFree(endpoint) || holds(endpoint, version.version)) {
+                continue;
+            }
+            std::string replaced;
+            if (endpoint.loaded.size() >= endpoint.places && !this->spareOn(endpoint, replaced)) {
+                continue;
+            }
+            // An empty place goes before a replacement, a zone without a copy before one that has some.
+            const double score = (replaced.empty() ? 2 : 0) + (this->zoneHolds(endpoint.availabilityZone, version.version) ? 0 : 1)
+                + 1.0 / (1.0 + static_cast<double>(endpoint.loaded.size()));
+            if (best == nullptr || score > bestScore) {
+                best = &endpoint;
+                bestScore = score;
+                victim = replaced;
+            }
+        }
+        if (best == nullptr) {
+            return;
+        }
+        std::erase(best->loaded, victim);
+        best->loading = version.version;
+        this->ordered.insert(best->endpoint);
+        this->memory.allowanceBytes -= version.weightBytes;
+        ++this->loads;
+        this->sinceOf(version.version).aboveMs = 0;
+        this->decision.orders.push_back(
+            {.endpoint = best->endpoint, .incarnation = best->incarnation, .load = version.version, .unload = victim, .reason = reason, .value = value});
+    }
+
+    bool zoneHolds(const std::string &zone, const std::string &version) const
+    {
+        return std::any_of(this->endpoints.begin(), this->endpoints.end(), [&](const PlacementEndpoint &endpoint) {
+            return endpoint.usable && endpoint.availabilityZone == zone && (holds(endpoint, version) || endpoint.loading == version);
+        });
+    }
+
+    /** \returns whether \a version can lose its copy at \a endpoint without being emptied or crowded */
+    bool canSpare(const PlacementVersion &version, const PlacementEndpoint &endpoint) const
+    {
+        const unsigned have = this->copies(version.version);
+        const unsigned least = version.inUse || version.demand > 0 ? std::max(1U, version.leastCopies) : 0;
+        if (have <= least) {
+            return false;
+        }
+        const double left = this->capacity(version.version) - static_cast<double>(endpoint.capacity) / static_cast<double>(endpoint.loaded.size());
+        return left > 0 && version.demand / left < this->options.fullAfterRemoval;
+    }
+
+    /** Finds the least used version at \a endpoint that has copies to spare and stayed below the bound. */
+    bool spareOn(const PlacementEndpoint &endpoint, std::string &version)
+    {
+        double least = 0;
+        for (const PlacementVersion &candidate : this->versions) {
+            if (!holds(endpoint, candidate.version) || !this->canSpare(candidate, endpoint)) {
+                continue;
+            }
+            const double use = this->use(candidate);
+            const double below = this->sinceOf(candidate.version).belowMs;
+            if (use >= this->options.removeBelow || below <= 0 || this->nowMs - below < this->options.holdMs) {
+                continue;
+            }
+            if (version.empty() || use < least) {
+                version = candidate.version;
+                least = use;
+            }
+        }
+        return !version.empty();
+    }
+
+    /** Keeps the time below the bound. Memory is free until somebody needs it, so a spare copy is only removed to make room. */
+    void noteBelow(const PlacementVersion &version)
+    {
+        this->heldFor(this->sinceOf(version.version).belowMs, this->use(version) < this->options.removeBelow);
+    }
+
+    const std::vector<PlacementVersion> &versions;
+    std::vector<PlacementEndpoint> endpoints;
+    PlacementMemory memory;
+    const PlacementOptions &options;
+    double nowMs;
+    unsigned loads = 0;
+    std::set<std::string> ordered;
+    PlacementDecision decision;
+};
+
+} // namespace
+
+PlacementDecision choosePlacement(const std::vector<PlacementVersion> &versions,
+                                  const std::vector<PlacementEndpoint> &endpoints,
+                                  const PlacementMemory &memory,
+                                  const PlacementOptions &options,
+                                  double nowMs)
+{
+    return Planner(versions, endpoints, memory, options, nowMs).decide();
+}
+
+Wire::Order fencedOrder(const PlacementOrder &order, std::uint64_t fence, std::uint64_t call)
+{
+    Wire::Order message;
+    message.set_call(call);
+    message.set_fence(fence);
+    message.set_load_version(order.load);
+    message.set_unload_version(order.unload);
+    return message;
+}
+
+} // namespace Apricothead
