--- a/Apricothead/src/Coordination/EntryTask.cpp
+++ b/Apricothead/src/Coordination/EntryTask.cpp
@@ -260,6 +260,8 @@
     EventLoop &loop;
     Settings settings;
     std::uint64_t incarnation;
+    /** Before the replica client, which asks for it while it is made. */
+    bool isLeaving = false;
     HttpClient http;
     Rater rater;
     Metrics metrics;
@@ -277,7 +279,6 @@
     std::uint64_t nextRequest = 0;
     std::unique_ptr<HttpServer> server;
     std::function<void()> stopped;
-    bool isLeaving = false;
     bool isCutting = false;
 };
 
--- a/Apricothead/src/Coordination/RequestRun.cpp
+++ b/Apricothead/src/Coordination/RequestRun.cpp
@@ -281,7 +281,7 @@
     this->ended(version, Verdict::Ran, this->head.status);
 }
 
-void RequestRun::failAnswer(CallerError error)
+void RequestRun::failAnswer(const CallerError &error)
 {
     this->answer->fail(error);
     this->ended(error.code, error.verdict, error.status);
@@ -297,7 +297,7 @@
     if (this->current) {
         this->current->leave();
     }
-    this->failAnswer(std::move(told));
+    this->failAnswer(told);
 }
 
 void RequestRun::leave()
--- a/Apricothead/src/Coordination/RequestRun.h
+++ b/Apricothead/src/Coordination/RequestRun.h
@@ -54,7 +54,7 @@
     CallerError engineError(const StepEnd &stepEnd) const;
     std::string ratingRequest() const;
     void finishAnswer(const std::string &version);
-    void failAnswer(CallerError error);
+    void failAnswer(const CallerError &error);
     void leave();
     void ended(std::string_view how, Verdict verdict, unsigned status);
 
--- a/Apricothead/src/Coordination/StepRun.cpp
+++ b/Apricothead/src/Coordination/StepRun.cpp
@@ -343,7 +343,7 @@
     }
     StepEnd stepEnd{.isWhole = isWhole || isServiceAnswer, .version = this->record.version(), .usage = done.usage(), .error = brokenRunError(done)};
     stepEnd.error.verdict = this->soFar;
-    this->endStep(std::move(stepEnd));
+    this->endStep(stepEnd);
     if (this->isAttachOnly) {
         this->finish();
         return;
@@ -624,7 +624,7 @@
     StepEnd stepEnd;
     stepEnd.version = this->chosenVersion;
     stepEnd.error = std::move(error);
-    this->endStep(std::move(stepEnd));
+    this->endStep(stepEnd);
 }
 
 void StepRun::endAndFinish(CallerError error)
@@ -633,7 +633,7 @@
     this->finish();
 }
 
-void StepRun::endStep(StepEnd stepEnd)
+void StepRun::endStep(const StepEnd &stepEnd)
 {
     if (std::exchange(this->isEnded, true) || this->hasLeft) {
         return;
--- a/Apricothead/src/Coordination/StepRun.h
+++ b/Apricothead/src/Coordination/StepRun.h
@@ -114,7 +114,7 @@
     void sendCancel();
     void end(CallerError error);
     void endAndFinish(CallerError error);
-    void endStep(StepEnd stepEnd);
+    void endStep(const StepEnd &stepEnd);
     void endTicket(RunEnd runEnd);
     void finish();
     Wire::RequestKey key() const;
--- a/test/support/Wait.h
+++ b/test/support/Wait.h
@@ -3,7 +3,10 @@
 #include <Apricothead/Transport>
 
 #include <chrono>
+#include <exception>
 #include <functional>
+#include <memory>
+#include <utility>
 
 namespace Apricothead::Test {
 
@@ -22,4 +25,19 @@
     return condition();
 }
 
+/** Makes a Router at an address whose former socket may still be closing. \returns null when it stays taken */
+inline std::unique_ptr<Router> routerAt(EventLoop &loop, const RouterOptions &options)
+{
+    std::unique_ptr<Router> router;
+    runUntil(loop, [&] {
+        try {
+            router = router ? std::move(router) : std::make_unique<Router>(loop, options);
+        } catch (const std::exception &) {
+            return false;
+        }
+        return true;
+    });
+    return router;
+}
+
 } // namespace Apricothead::Test
--- a/test/transport.cpp
+++ b/test/transport.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE transport
 #include "main.h"
 
+#include "support/Wait.h"
+
 #include <Apricothead/Transport>
 
 #include <arpa/inet.h>
@@ -22,18 +24,7 @@
 /** Runs the loop until \a condition holds. \returns false when it did not within Patience */
 bool runUntil(EventLoop &loop, const std::function<bool()> &condition)
 {
-    const std::uint64_t end = loop.nowMs() + Patience.count();
-    // Stops once: a second stop that the loop has not seen yet would end the next run() at once.
-    bool ended = false;
-    Timer check(loop, [&] {
-        if (!ended && (condition() || loop.nowMs() > end)) {
-            ended = true;
-            loop.stop();
-        }
-    });
-    check.startRepeating(milliseconds(1));
-    loop.run();
-    return condition();
+    return Test::runUntil(loop, condition, Patience);
 }
 
 /** A bare TCP connection, to send what a well-behaved client would not. */
@@ -237,7 +228,8 @@
     }));
     // A closed connection is noticed without waiting for the silence bound.
     BOOST_TEST(this->loop.nowMs() - before < 1000);
-    router = std::make_unique<Router>(this->loop, RouterOptions{.address = address});
+    router = Test::routerAt(this->loop, RouterOptions{.address = address});
+    BOOST_REQUIRE(router);
     BOOST_TEST(runUntil(this->loop, [&] {
         return connected == 2;
     }));
