serve runs the entry role

Change: added to serve; a role that can't listen fails with its reason. Before: endpoint and replica only.

--- a/app/ServeCommand.cpp
+++ b/app/ServeCommand.cpp
@@ -36,7 +36,11 @@
 template <class Task>
 std::string startTask(Task &task)
 {
-    task.start();
+    try {
+        task.start();
+    } catch (const std::exception &error) {
+        return error.what();
+    }
     return {};
 }
 
@@ -96,6 +100,9 @@
 
     void startRoles()
     {
+        if (this->settings.entry) {
+            this->add<EntryTask>("entry", EntryTaskOptions{.settings = this->settings});
+        }
         if (this->settings.endpoint) {
             this->add<EndpointTask>("endpoint", EndpointTaskOptions{.settings = this->settings});
         }
