Entry carries out roll-out decisions by the evidence of all entries

Cause: RolloutController and EvidenceBook decide, but nothing fed or followed them; and a caller's own mistake (4xx) counted as a failure of the endpoint, so one caller could have an endpoint ejected. Ruled out: one elected entry that decides (a cut-off one would stop all roll-outs); equal command ids make decisions by all safe. Change: RolloutDriver, digests filled and taken, rating of answers of versions in roll-out in the background, 4xx is neutral. Before: roll-outs stood still. Conclusion: to be tried end to end with the operator service.

--- a/Apricothead/src/Coordination/EntryContext.h
+++ b/Apricothead/src/Coordination/EntryContext.h
@@ -4,6 +4,7 @@
 #include "Metrics.h"
 #include "ReplicaClient.h"
 #include "RetryBudget.h"
+#include "RolloutDriver.h"
 #include "SessionCache.h"
 
 #include "../Protocol/Settings.h"
@@ -30,8 +31,11 @@
     RetryBudget &retries;
     SessionCache &sessions;
     Metrics &metrics;
+    RolloutDriver &rollouts;
     /** The newest configuration seen: a hint, the admission decides. */
     std::function<const Wire::Configuration &()> configuration;
+    /** \returns wall-clock ms since 1970 */
+    std::function<std::int64_t()> wallClockMs;
     /** Proposes a command with the deadline of the settings. */
     std::function<void(Wire::Command, std::function<void(const ProposeOutcome &)>)> propose;
     /** Asks the rating service; \a done gets nothing when there is none or it is late. */
--- a/Apricothead/src/Coordination/EntryTask.cpp
+++ b/Apricothead/src/Coordination/EntryTask.cpp
@@ -26,6 +26,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds TickInterval{100};
+constexpr std::uint64_t DecisionIntervalMs = 500;
 /** After the shutdown bound: time for what was cut to tell its callers. */
 constexpr milliseconds CutGrace{500};
 constexpr unsigned PayloadTooLarge = 413;
@@ -38,6 +39,12 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
 }
 
+std::int64_t wallClockMs()
+{
+    constexpr std::uint64_t MicrosPerMs = 1000;
+    return static_cast<std::int64_t>(wallClockMicros() / MicrosPerMs);
+}
+
 CallerError serverRefusal(unsigned status)
 {
     switch (status) {
@@ -60,6 +67,11 @@
         , http(eventLoop)
         , rater(http, settings.entry->ratingUrl)
         , pool(eventLoop, this->poolOptions())
+        , rollouts({.entry = settings.process,
+                    .propose =
+                        [this](Wire::Command command, std::function<void(const ProposeOutcome &)> done) {
+                            this->replicas.propose(std::move(command), this->settings.timing.proposal, std::move(done));
+                        }})
         , replicas(eventLoop, this->replicaOptions())
         , context(this->makeContext())
         , api(this->apiOptions())
@@ -114,6 +126,9 @@
             this->pool.setDirectory(endpoints);
             this->pool.setConfiguration(this->replicas.configuration());
         };
+        options.onDigests = [this](const std::vector<Wire::EntryDigest> &digests) {
+            this->rollouts.takeDigests(digests, wallClockMs());
+        };
         return options;
     }
 
@@ -126,9 +141,11 @@
                             .retries = this->retries,
                             .sessions = this->sessions,
                             .metrics = this->metrics,
+                            .rollouts = this->rollouts,
                             .configuration = [this]() -> const Wire::Configuration & {
                                 return this->replicas.configuration();
                             },
+                            .wallClockMs = wallClockMs,
                             .propose =
                                 [this](Wire::Command command, std::function<void(const ProposeOutcome &)> done) {
                                     this->replicas.propose(std::move(command), this->settings.timing.proposal, std::move(done));
@@ -196,6 +213,12 @@
         heartbeat.set_availability_zone(this->settings.availabilityZone);
         heartbeat.set_region(this->settings.region);
         heartbeat.set_leaving(this->isLeaving);
+        Wire::EntryDigest &digest = *heartbeat.mutable_digest();
+        digest.set_entry(this->settings.process);
+        digest.set_incarnation(this->incarnation);
+        for (Wire::VersionEvidence &evidence : this->rollouts.digest(wallClockMs())) {
+            digest.add_evidence()->Swap(&evidence);
+        }
         return heartbeat;
     }
 
@@ -203,10 +226,21 @@
     {
         this->pool.tick();
         this->runs.tick();
+        this->decideRollouts();
         this->dropEnded();
         this->checkStopped();
     }
 
+    void decideRollouts()
+    {
+        const std::uint64_t now = this->loop.nowMs();
+        if (this->isLeaving || now - this->decidedMs < DecisionIntervalMs) {
+            return;
+        }
+        this->decidedMs = now;
+        this->rollouts.decide(this->replicas.configuration(), wallClockMs());
+    }
+
     void dropEnded()
     {
         for (const std::uint64_t number : std::exchange(this->endedRequests, {})) {
@@ -267,6 +301,7 @@
     SessionCache sessions;
     RunRegistry runs;
     EndpointPool pool;
+    RolloutDriver rollouts;
     ReplicaClient replicas;
     EntryContext context;
     CallerApi api;
@@ -275,6 +310,7 @@
     std::map<std::uint64_t, std::shared_ptr<RequestRun>> requests;
     std::vector<std::uint64_t> endedRequests;
     std::uint64_t nextRequest = 0;
+    std::uint64_t decidedMs = 0;
     std::unique_ptr<HttpServer> server;
     std::function<void()> stopped;
     bool isLeaving = false;
--- a/Apricothead/src/Coordination/RequestRun.cpp
+++ b/Apricothead/src/Coordination/RequestRun.cpp
@@ -70,6 +70,7 @@
 
 void RequestRun::planSteps()
 {
+    this->ratingTimeout = DefaultRatingTimeout;
     const Wire::Cascade *cascade = findCascade(this->context.configuration(), this->request->model);
     if (cascade == nullptr || !this->request->payload.chat()) {
         this->models = {this->request->model};
@@ -77,7 +78,9 @@
     }
     this->models.assign(cascade->models().begin(), cascade->models().end());
     this->ratingThreshold = cascade->rating_threshold();
-    this->ratingTimeout = cascade->rating_timeout_ms() > 0 ? milliseconds(cascade->rating_timeout_ms()) : DefaultRatingTimeout;
+    if (cascade->rating_timeout_ms() > 0) {
+        this->ratingTimeout = milliseconds(cascade->rating_timeout_ms());
+    }
 }
 
 void RequestRun::startStep()
@@ -111,6 +114,10 @@
         const std::shared_ptr<RequestRun> self = weak.lock();
         return !self || self->answer->queuedBytes() < QueuedBytesLimit;
     };
+    options.awaitsRating = [weak] {
+        const std::shared_ptr<RequestRun> self = weak.lock();
+        return self && self->willRate();
+    };
     this->current = std::make_shared<StepRun>(this->context, std::move(options));
     Wire::RequestKey key;
     key.set_organisation(this->request->organisation);
@@ -138,6 +145,9 @@
         = {.status = status, .contentType = contentType, .version = version, .verdict = status >= FirstServerErrorStatus ? Verdict::MayHaveRun : Verdict::Ran};
     this->errorBody.clear();
     this->held = {.head = this->head};
+    this->ratesDirect = this->isLastStep() && this->mayRate() && RolloutDriver::wantsRating(this->context.configuration(), version);
+    this->answered.emplace();
+    this->answeredBytes = 0;
     if (this->isLastStep() && !this->isErrorAnswer()) {
         this->answer->begin(this->head);
     }
@@ -154,6 +164,7 @@
         return;
     }
     if (this->isLastStep()) {
+        this->keepForRating(data);
         this->answer->chunk(data);
         return;
     }
@@ -173,6 +184,7 @@
 void RequestRun::endDirect(const StepEnd &stepEnd)
 {
     if (stepEnd.isWhole) {
+        this->rateInBackground();
         this->finishAnswer(stepEnd.version);
         return;
     }
@@ -200,14 +212,58 @@
     }
     this->held.isWhole = true;
     if (this->held.bytes > HeldBytesLimit) {
+        this->context.rollouts.noteRated(this->held.head.version, std::nullopt, this->context.wallClockMs());
         this->deliverHeld();
         return;
     }
-    this->context.rate(this->ratingRequest(), this->ratingTimeout, [weak = this->weak_from_this()](std::optional<double> rating) {
-        if (const std::shared_ptr<RequestRun> self = weak.lock()) {
-            self->decideOn(rating);
-        }
-    });
+    ChatAssembler assembler;
+    for (const std::string &chunk : this->held.chunks) {
+        assembler.take(chunk);
+    }
+    RolloutDriver &rollouts = this->context.rollouts;
+    this->context.rate(
+        this->ratingRequest(assembler.text()),
+        this->ratingTimeout,
+        [weak = this->weak_from_this(), &rollouts, now = this->context.wallClockMs, version = this->held.head.version](std::optional<double> rating) {
+            rollouts.noteRated(version, rating, now());
+            if (const std::shared_ptr<RequestRun> self = weak.lock()) {
+                self->decideOn(rating);
+            }
+        });
+}
+
+bool RequestRun::mayRate() const
+{
+    return this->request->payload.chat() && !this->context.settings.entry->ratingUrl.empty();
+}
+
+bool RequestRun::willRate() const
+{
+    return this->isLastStep() ? this->ratesDirect : this->mayRate();
+}
+
+void RequestRun::keepForRating(std::string_view data)
+{
+    this->answeredBytes += data.size();
+    if (this->ratesDirect && this->answeredBytes <= HeldBytesLimit) {
+        this->answered->take(data);
+    }
+}
+
+void RequestRun::rateInBackground()
+{
+    if (!this->ratesDirect) {
+        return;
+    }
+    RolloutDriver &rollouts = this->context.rollouts;
+    const auto note = [&rollouts, now = this->context.wallClockMs, version = this->head.version](std::optional<double> rating) {
+        rollouts.noteRated(version, rating, now());
+    };
+    if (this->answeredBytes > HeldBytesLimit) {
+        note(std::nullopt);
+        return;
+    }
+    this->context.rate(this->ratingRequest(this->answered->text()), this->ratingTimeout, note);
 }
 
 void RequestRun::decideOn(std::optional<double> rating)
@@ -264,14 +320,10 @@
     return error;
 }
 
-std::string RequestRun::ratingRequest() const
+std::string RequestRun::ratingRequest(const std::string &text) const
 {
-    ChatAssembler assembler;
-    for (const std::string &chunk : this->held.chunks) {
-        assembler.take(chunk);
-    }
     const nlohmann::json asked = nlohmann::json::parse(this->request->payload.body(), nullptr, false);
-    const nlohmann::json rating{{"model", this->models[this->step]}, {"version", this->held.head.version}, {"request", asked}, {"answer", assembler.text()}};
+    const nlohmann::json rating{{"model", this->models[this->step]}, {"version", this->head.version}, {"request", asked}, {"answer", text}};
     return rating.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/Apricothead/src/Coordination/RequestRun.h
+++ b/Apricothead/src/Coordination/RequestRun.h
@@ -4,6 +4,8 @@
 #include "EntryContext.h"
 #include "StepRun.h"
 
+#include "../Protocol/ChatAssembler.h"
+
 #include "../Transport/Timer.h"
 
 #include <memory>
@@ -52,7 +54,14 @@
     void deliverHeld();
     void nextStep();
     CallerError engineError(const StepEnd &stepEnd) const;
-    std::string ratingRequest() const;
+    /** \returns true when answers can be rated at all */
+    bool mayRate() const;
+    /** \returns true when the whole answer of the current step will be rated */
+    bool willRate() const;
+    void keepForRating(std::string_view data);
+    /** Rates an answer that the caller has already, as evidence on its version. */
+    void rateInBackground();
+    std::string ratingRequest(const std::string &text) const;
     void finishAnswer(const std::string &version);
     void failAnswer(CallerError error);
     void leave();
@@ -73,6 +82,9 @@
     std::string errorBody;
     HeldAnswer held;
     HeldAnswer best;
+    bool ratesDirect = false;
+    std::optional<ChatAssembler> answered;
+    std::size_t answeredBytes = 0;
     std::uint64_t startedMs = 0;
     std::uint64_t firstByteMs = 0;
     Verdict former = Verdict::NotRun;
--- a/Apricothead/src/Coordination/StepRun.cpp
+++ b/Apricothead/src/Coordination/StepRun.cpp
@@ -29,6 +29,8 @@
 /** What is left to settle or void is given up after this long: the endpoint process and the leader settle too. */
 constexpr std::uint64_t AftermathMs = 30000;
 constexpr unsigned SettleTries = 5;
+constexpr unsigned FirstErrorStatus = 400;
+constexpr unsigned FirstServerErrorStatus = 500;
 
 } // namespace
 
@@ -50,11 +52,13 @@
 void StepRun::choose()
 {
     this->phase = Phase::Choosing;
-    const VersionDecision version = chooseVersion(this->context.configuration(),
-                                                  {.organisation = this->request.organisation,
-                                                   .model = this->options.model,
-                                                   .subject = this->request.session.empty() ? this->request.id : this->request.session,
-                                                   .sessionVersion = this->sessionVersion});
+    const VersionDecision version
+        = chooseVersion(this->context.configuration(),
+                        {.organisation = this->request.organisation,
+                         .model = this->options.model,
+                         .subject = this->request.session.empty() ? this->request.id : this->request.session,
+                         .sessionVersion = this->sessionVersion,
+                         .rolloutFull = this->context.rollouts.isFull(this->context.configuration(), this->options.model, this->context.wallClockMs())});
     if (version.version.empty()) {
         CallerError error = noVersionError(version.reason, this->options.model);
         error.verdict = this->soFar;
@@ -219,6 +223,10 @@
     if (!attachOnly && admitted.endpoint() == this->decision.endpoint) {
         this->ticket = this->context.pool.started(this->decision, this->options.prefixes);
     }
+    if (!attachOnly && !this->dispatchedMs) {
+        this->dispatchedMs = this->nowMs();
+        this->context.rollouts.noteStarted(this->chosenVersion, this->context.wallClockMs());
+    }
     this->sendRun();
 }
 
@@ -291,6 +299,9 @@
     this->gapSinceMs = 0;
     // The deadline bounds the wait for the next piece, not the length of an answer.
     this->deadlineMs = this->nowMs() + static_cast<std::uint64_t>(this->context.settings.entry->requestDeadline.count());
+    if (this->dispatchedMs && this->nextChunk == 1) {
+        this->firstTokenMs = this->nowMs() - *this->dispatchedMs;
+    }
     if (this->ticket && this->nextChunk == 1) {
         this->context.pool.firstToken(*this->ticket);
     }
@@ -337,7 +348,10 @@
     const bool isWhole = done.outcome() == Wire::OUTCOME_WHOLE;
     const bool isServiceAnswer = !this->request.payload.chat() && done.outcome() == Wire::OUTCOME_FAILED && done.status() > 0;
     this->soFar = combined(this->soFar, verdictOf(done.verdict()));
-    this->endTicket(isWhole ? RunEnd::Whole : done.outcome() == Wire::OUTCOME_CANCELLED ? RunEnd::Neutral : RunEnd::Broken);
+    // A refusal of the caller's own mistake says nothing of the endpoint and its version.
+    const bool isCallersMistake = done.status() >= FirstErrorStatus && done.status() < FirstServerErrorStatus;
+    const bool isNeutral = done.outcome() == Wire::OUTCOME_CANCELLED || isCallersMistake;
+    this->endTicket(isWhole ? RunEnd::Whole : isNeutral ? RunEnd::Neutral : RunEnd::Broken);
     if (isWhole) {
         this->context.retries.noteSuccess();
     }
@@ -641,8 +655,25 @@
     this->options.onEnd(stepEnd);
 }
 
+void StepRun::endEvidence(RunEnd runEnd)
+{
+    if (!this->dispatchedMs) {
+        return;
+    }
+    this->dispatchedMs.reset();
+    const AnswerEnd answerEnd = runEnd == RunEnd::Whole ? AnswerEnd::Whole : runEnd == RunEnd::Broken ? AnswerEnd::Bad : AnswerEnd::Dropped;
+    const bool isDelivered = runEnd == RunEnd::Whole && !this->isEnded && !this->hasLeft;
+    this->context.rollouts.noteEnded(this->options.model,
+                                     this->record.version(),
+                                     answerEnd,
+                                     static_cast<double>(this->firstTokenMs),
+                                     isDelivered && this->options.awaitsRating(),
+                                     this->context.wallClockMs());
+}
+
 void StepRun::endTicket(RunEnd runEnd)
 {
+    this->endEvidence(runEnd);
     if (this->ticket) {
         this->context.pool.finished(*this->ticket, runEnd);
         this->ticket.reset();
--- a/Apricothead/src/Coordination/StepRun.h
+++ b/Apricothead/src/Coordination/StepRun.h
@@ -44,6 +44,8 @@
     std::function<bool()> hasStarted;
     /** \returns true while the caller takes bytes as they come */
     std::function<bool()> isTaking;
+    /** \returns true when the whole answer will be rated. \sa RolloutDriver::noteRated */
+    std::function<bool()> awaitsRating;
 };
 
 /** \class StepRun
@@ -116,6 +118,7 @@
     void endAndFinish(CallerError error);
     void endStep(StepEnd stepEnd);
     void endTicket(RunEnd runEnd);
+    void endEvidence(RunEnd runEnd);
     void finish();
     Wire::RequestKey key() const;
     bool isCancellable() const;
@@ -144,6 +147,9 @@
     std::uint64_t nextChunk = 0;
     std::uint64_t grantedUpTo = 0;
     std::uint64_t gapSinceMs = 0;
+    /** Set while the run under way counts as open evidence on its version. */
+    std::optional<std::uint64_t> dispatchedMs;
+    std::uint64_t firstTokenMs = 0;
     bool isAttachOnly = false;
     bool isEnded = false;
     bool hasLeft = false;
