--- a/Apricothead/src/State/RequestTable.cpp
+++ b/Apricothead/src/State/RequestTable.cpp
@@ -4,6 +4,11 @@
 
 namespace Apricothead {
 
+bool awaitsBill(const Wire::RequestRecord &record)
+{
+    return record.state() == Wire::RECORD_STATE_ADMITTED || (record.state() == Wire::RECORD_STATE_ABANDONED && record.may_have_run());
+}
+
 const Wire::RequestRecord *RequestTable::find(const Wire::RequestKey &key) const
 {
     const auto found = this->records.find(keyCode(key));
@@ -76,7 +81,7 @@
 
 void RequestTable::index(const std::string &name, const Wire::RequestRecord &record)
 {
-    if (record.state() == Wire::RECORD_STATE_ADMITTED) {
+    if (awaitsBill(record)) {
         this->open.insert(name);
     } else {
         this->ended.add(record.changed_at_ms(), name);
--- a/Apricothead/src/State/RequestTable.h
+++ b/Apricothead/src/State/RequestTable.h
@@ -11,6 +11,9 @@
 
 namespace Apricothead {
 
+/** \returns true while the run of \a record, or of an attempt before it, may still have to be billed */
+bool awaitsBill(const Wire::RequestRecord &record);
+
 /** \class RequestTable
  * \ingroup State_Module
  * \brief Request records, and the hashes of those that were retired.
@@ -30,7 +33,7 @@
     /** Retires a bounded number of records that ended before \a beforeMs. */
     void retire(std::int64_t beforeMs);
 
-    /** Calls \a visit with each record that is admitted and not ended, ordered by key. */
+    /** Calls \a visit with each record that awaits its bill, ordered by key. */
     void forEachOpen(const std::function<void(const Wire::RequestRecord &)> &visit) const;
 
     std::size_t size() const;
--- a/Apricothead/src/State/StateMachine.cpp
+++ b/Apricothead/src/State/StateMachine.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t MaxCommandIdBytes = 128;
 /** Longest key of a request, in bytes. */
 constexpr std::size_t MaxKeyBytes = 512;
+/** An abandoned record whose earlier attempt may have run is settled as lost when it has stood this long. */
+constexpr std::int64_t AbandonedStandsMs = 60'000;
 
 Wire::CommandResult done()
 {
@@ -69,6 +71,21 @@
     return record.state() == Wire::RECORD_STATE_ADMITTED && record.attempt() == attempt;
 }
 
+/** An earlier attempt that may have run can still be billed once the later one is known not to have run. */
+bool isSettledBy(const Wire::RequestRecord &record, std::uint32_t attempt)
+{
+    const bool isEarlierRun = record.state() == Wire::RECORD_STATE_ABANDONED && record.may_have_run() && attempt <= record.attempt();
+    return isCurrentAttempt(record, attempt) || isEarlierRun;
+}
+
+/** Carries over what binds a further attempt of the same request. */
+void carryOver(Wire::RequestRecord &record, const Wire::RequestRecord &former)
+{
+    record.set_repeatable(former.repeatable());
+    record.set_may_have_run(former.may_have_run() || former.state() == Wire::RECORD_STATE_ADMITTED);
+    *record.mutable_usage() = former.usage();
+}
+
 } // namespace detail
 
 struct StateMachine::Private {
@@ -85,7 +102,7 @@
     Wire::CommandResult dispatch(const Wire::Command &command);
     Wire::CommandResult admit(const Wire::Admit &admit);
     Wire::CommandResult admitAgain(const Wire::RequestRecord &record, const Wire::Admit &admit);
-    Wire::CommandResult admitChecked(const Wire::Admit &admit, bool repeatable);
+    Wire::CommandResult admitChecked(const Wire::Admit &admit, const Wire::RequestRecord *former);
     Wire::CommandResult settle(const Wire::Settle &settle);
     Wire::CommandResult abandon(const Wire::Abandon &abandon);
     Wire::CommandResult noteIncarnation(const Wire::EndpointIncarnation &incarnation);
@@ -131,7 +148,7 @@
     if (this->requests.isRetired(admit.key())) {
         return refusal(makeError(Wire::ERROR_CODE_RETIRED, "key", "was used by a request that ended long ago", "use a new key"));
     }
-    return this->admitChecked(admit, admit.repeatable());
+    return this->admitChecked(admit, nullptr);
 }
 
 Wire::CommandResult StateMachine::Private::admitAgain(const Wire::RequestRecord &record, const Wire::Admit &admit)
@@ -147,7 +164,7 @@
         return result;
     }
     case AttemptRule::Replace:
-        return this->admitChecked(admit, record.repeatable());
+        return this->admitChecked(admit, &record);
     case AttemptRule::Known:
         return knownRecord(record);
     case AttemptRule::ProofMissing:
@@ -162,7 +179,7 @@
     return detail::refusalBeside(makeError(Wire::ERROR_CODE_KEY_REUSED, "key", "was used for another request", "use a new key"), record);
 }
 
-Wire::CommandResult StateMachine::Private::admitChecked(const Wire::Admit &admit, bool repeatable)
+Wire::CommandResult StateMachine::Private::admitChecked(const Wire::Admit &admit, const Wire::RequestRecord *former)
 {
     const Check check = this->checkAdmit(admit);
     if (check.has_error()) {
@@ -174,7 +191,9 @@
         return result;
     }
     Wire::RequestRecord record = detail::admittedRecord(admit, this->appliedIndex, this->timeMs);
-    record.set_repeatable(repeatable);
+    if (former != nullptr) {
+        detail::carryOver(record, *former);
+    }
     this->requests.put(record);
     if (!admit.session().empty()) {
         this->sessions.use(admit, this->timeMs);
@@ -194,7 +213,7 @@
     if (found == nullptr) {
         return this->noRecord(settle.key());
     }
-    if (!detail::isCurrentAttempt(*found, settle.attempt())) {
+    if (!detail::isSettledBy(*found, settle.attempt())) {
         return knownRecord(*found);
     }
     Wire::RequestRecord record = *found;
@@ -230,7 +249,9 @@
     }
     Wire::RequestRecord record = *found;
     record.set_state(Wire::RECORD_STATE_ABANDONED);
-    record.clear_usage();
+    if (!record.may_have_run()) {
+        record.clear_usage();
+    }
     record.set_changed_at_ms(this->timeMs);
     this->requests.put(record);
     return knownRecord(record);
@@ -400,8 +421,11 @@
 std::vector<Wire::RequestRecord> StateMachine::orphans() const
 {
     std::vector<Wire::RequestRecord> found;
+    const std::int64_t abandonedBefore = this->d->timeMs - detail::AbandonedStandsMs;
     this->d->requests.forEachOpen([&](const Wire::RequestRecord &record) {
-        if (this->d->incarnations.isGone(record.endpoint(), record.incarnation())) {
+        const bool isGone = this->d->incarnations.isGone(record.endpoint(), record.incarnation());
+        const bool isAbandoned = record.state() == Wire::RECORD_STATE_ABANDONED;
+        if (isAbandoned ? record.changed_at_ms() < abandonedBefore : isGone) {
             found.push_back(record);
         }
     });
--- a/Apricothead/src/State/StateMachine.h
+++ b/Apricothead/src/State/StateMachine.h
@@ -57,7 +57,10 @@
     std::size_t retiredKeyCount() const;
     std::uint64_t appliedIndex() const;
 
-    /** \returns admitted records whose endpoint incarnation is known to be gone, for the leader to settle as lost */
+    /**
+     * \returns records for the leader to settle as lost: those admitted by an endpoint incarnation that is known to be gone, and those
+     * abandoned a minute ago of which an earlier attempt may have run
+     */
     std::vector<Wire::RequestRecord> orphans() const;
 
     /** \returns the newest known incarnation of each endpoint process; one marked lost gets no work until it is named again without the mark */
--- a/test/statemachine.cpp
+++ b/test/statemachine.cpp
@@ -47,6 +47,19 @@
         return this->apply(command);
     }
 
+    Wire::CommandResult abandon(const std::string &key, std::uint32_t attempt)
+    {
+        Wire::Command command;
+        Wire::Abandon *abandon = command.mutable_abandon();
+        abandon->mutable_key()->set_organisation("mulgrave");
+        abandon->mutable_key()->set_key(key);
+        abandon->set_attempt(attempt);
+        abandon->set_proof(Wire::NOT_RUN_PROOF_TOMBSTONE);
+        abandon->set_endpoint("endpoint-0");
+        abandon->set_incarnation(5);
+        return this->apply(command);
+    }
+
     Wire::CommandResult withdraw(const std::string &version, const std::string &replacement = {})
     {
         Wire::ConfigurationChange change;
@@ -142,6 +155,29 @@
     BOOST_TEST(this->machine.ledger("mulgrave", "1970-01-01").at(0).bills() == 1U);
 }
 
+// Found by spec/admission.pml: the former attempt ran, the second one was abandoned, and no bill came.
+BOOST_FIXTURE_TEST_CASE(abandonedSecondAttemptLeavesTheFirstToBeBilled, Machine)
+{
+    Wire::Admit admit = poleOrder("a");
+    admit.set_repeatable(true);
+    this->admit(admit);
+    admit.set_attempt(2);
+    this->admit(admit);
+    const Wire::CommandResult abandoned = this->abandon("a", 2);
+    BOOST_TEST(abandoned.known().state() == Wire::RECORD_STATE_ABANDONED);
+    BOOST_TEST(abandoned.known().may_have_run());
+    BOOST_TEST(this->machine.orphans().empty());
+    this->timeMs += DayMs + 1;
+    this->admit(poleOrder("b"));
+    BOOST_TEST(this->machine.orphans().size() == 1U);
+    BOOST_TEST(this->machine.restore(this->machine.snapshot()));
+    BOOST_TEST(this->settle("a", 1, Wire::OUTCOME_WHOLE, 1000).known().cost_micros() == 1000U);
+    BOOST_TEST(this->settle("a", 2, Wire::OUTCOME_LOST, 9000).known().cost_micros() == 1000U);
+    BOOST_TEST(this->machine.orphans().empty());
+    admit.set_attempt(3);
+    BOOST_TEST(this->admit(admit).has_known());
+}
+
 BOOST_FIXTURE_TEST_CASE(lostEndpointIsBilledWhatItReported, Machine)
 {
     this->admit(poleOrder("a"));
