--- a/test/support/FakeEngine.cpp
+++ b/test/support/FakeEngine.cpp
@@ -49,8 +49,7 @@
 {
 public:
     Stream(EventLoop &loop, StreamOptions streamOptions)
-        : options(std::move(streamOptions))
-        , timer(loop, [this] {
+        : options(std::move(streamOptions)), timer(loop, [this] {
             this->step();
         })
     {
--- a/test/support/Program.h
+++ b/test/support/Program.h
@@ -18,9 +18,7 @@
 class Program
 {
 public:
-    Program()
-        : terminate(this->loop.native())
-        , interrupt(this->loop.native())
+    Program() : terminate(this->loop.native()), interrupt(this->loop.native())
     {
         this->terminate.set<Program, &Program::end>(this);
         this->terminate.start(SIGTERM);
--- a/test/support/Relay.cpp
+++ b/test/support/Relay.cpp
@@ -47,11 +47,7 @@
 {
 public:
     Direction(struct ev_loop *loop, int source, int sink, std::function<void()> ended)
-        : from(source)
-        , to(sink)
-        , onEnded(std::move(ended))
-        , readable(loop)
-        , writable(loop)
+        : from(source), to(sink), onEnded(std::move(ended)), readable(loop), writable(loop)
     {
         this->readable.set<Direction, &Direction::read>(this);
         this->writable.set<Direction, &Direction::write>(this);
@@ -121,10 +117,7 @@
 {
 public:
     Connection(struct ev_loop *loop, int nearSocket, int farSocket, const std::function<void()> &ended)
-        : near(nearSocket)
-        , far(farSocket)
-        , forth(loop, nearSocket, farSocket, ended)
-        , back(loop, farSocket, nearSocket, ended)
+        : near(nearSocket), far(farSocket), forth(loop, nearSocket, farSocket, ended), back(loop, farSocket, nearSocket, ended)
     { }
 
     ~Connection()
