--- a/test/support/FakeRating.cpp
+++ b/test/support/FakeRating.cpp
@@ -1,11 +1,11 @@
-// A service that rates answers, for tests and the demo: the score is set on command, or found in the answer's length.
+// A service that rates answers, for tests and the demo: the rating is set on command.
 #include "Program.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP and port to listen on");
-ABSL_FLAG(double, score, 0.9, "score of every answer");
+ABSL_FLAG(double, rating, 0.9, "rating of every answer");
 
 namespace Apricothead::Test {
 namespace {
@@ -14,7 +14,7 @@
 {
 public:
     explicit Rating(EventLoop &loop)
-        : score(absl::GetFlag(FLAGS_score))
+        : rating(absl::GetFlag(FLAGS_rating))
         , server(loop,
                  HttpServerOptions{
                      .address = absl::GetFlag(FLAGS_listen),
@@ -40,15 +40,15 @@
         }
         const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
         if (request.path == "/control") {
-            this->score = body.value("score", this->score);
+            this->rating = body.value("rating", this->rating);
             sendJson(reply, 200, {{"ok", true}});
             return;
         }
         ++this->total;
-        sendJson(reply, 200, {{"score", this->score}});
+        sendJson(reply, 200, {{"rating", this->rating}});
     }
 
-    double score;
+    double rating;
     std::uint64_t total = 0;
     HttpServer server;
 };
