Raft: property tests of seeded schedules; two faults found by them mended

First: a leader that had appended its own removal and crashed held the longest log, but no longer stood for election nor voted, and the others lacked its entry. Second: a learner that had just died was promoted while another voter was dead, so two of four voters were gone. Change: a replica campaigns and votes while its removal is not committed; a learner is promoted only if heard lately; a dead member is removed before the promotion (MemberChange).

--- a/Apricothead/src/Coordination/MemberChange.cpp
+++ b/Apricothead/src/Coordination/MemberChange.cpp
@@ -25,6 +25,35 @@
     return nullptr;
 }
 
+Wire::Membership withLearner(const Wire::Membership &membership, const Wire::Member &added)
+{
+    Wire::Membership result = membership;
+    Wire::Member *learner = result.add_members();
+    *learner = added;
+    learner->set_learner(true);
+    return result;
+}
+
+Wire::Membership withPromoted(const Wire::Membership &membership, const std::string &replica)
+{
+    Wire::Membership result = membership;
+    for (Wire::Member &member : *result.mutable_members()) {
+        member.set_learner(member.learner() && member.replica() != replica);
+    }
+    return result;
+}
+
+Wire::Membership without(const Wire::Membership &membership, const std::string &replica)
+{
+    Wire::Membership result;
+    for (const Wire::Member &member : membership.members()) {
+        if (member.replica() != replica) {
+            *result.add_members() = member;
+        }
+    }
+    return result;
+}
+
 } // namespace detail
 
 MemberChange::MemberChange(std::string removed, std::string address) : remove(std::move(removed)), addAddress(std::move(address))
@@ -45,46 +74,45 @@
     this->added = std::move(member);
 }
 
-std::optional<Wire::Membership> MemberChange::next(const Raft &raft) const
+const std::string &MemberChange::removed() const
 {
-    Wire::Membership membership = raft.membership();
+    return this->remove;
+}
+
+bool MemberChange::removes(const Wire::Membership &membership) const
+{
+    return !this->remove.empty() && detail::findMember(membership, this->remove) != nullptr;
+}
+
+std::optional<Wire::Membership> MemberChange::next(const Raft &raft, bool removedIsReachable) const
+{
+    const Wire::Membership &membership = raft.membership();
     if (raft.log().membershipIndex() > raft.commitIndex() || !this->addressToInvite().empty()) {
         return std::nullopt;
     }
-    if (this->added) {
-        const Wire::Member *present = detail::findMember(membership, this->added->replica());
-        if (present == nullptr) {
-            Wire::Member *learner = membership.add_members();
-            *learner = *this->added;
-            learner->set_learner(true);
-            return membership;
+    const Wire::Member *present = this->added ? detail::findMember(membership, this->added->replica()) : nullptr;
+    if (this->added && present == nullptr) {
+        return detail::withLearner(membership, *this->added);
+    }
+    const bool promotes = present != nullptr && present->learner();
+    if (promotes) {
+        const auto progress = raft.progress().find(present->replica());
+        if (progress == raft.progress().end() || progress->second.match < raft.commitIndex() || !progress->second.active) {
+            return std::nullopt;
         }
-        if (present->learner()) {
-            const auto progress = raft.progress().find(this->added->replica());
-            if (progress == raft.progress().end() || progress->second.match < raft.commitIndex()) {
-                return std::nullopt;
-            }
-            for (Wire::Member &member : *membership.mutable_members()) {
-                member.set_learner(member.learner() && member.replica() != this->added->replica());
-            }
-            return membership;
+        if (removedIsReachable || !this->removes(membership)) {
+            return detail::withPromoted(membership, present->replica());
         }
     }
-    if (this->remove.empty() || detail::findMember(membership, this->remove) == nullptr) {
-        return std::nullopt;
-    }
-    Wire::Membership without;
-    for (const Wire::Member &member : membership.members()) {
-        if (member.replica() != this->remove) {
-            *without.add_members() = member;
-        }
+    if (this->removes(membership)) {
+        return detail::without(membership, this->remove);
     }
-    return without;
+    return std::nullopt;
 }
 
 bool MemberChange::isDone(const Raft &raft) const
 {
-    if (!this->addressToInvite().empty() || raft.log().membershipIndex() > raft.commitIndex() || this->next(raft)) {
+    if (!this->addressToInvite().empty() || raft.log().membershipIndex() > raft.commitIndex() || this->removes(raft.membership())) {
         return false;
     }
     if (this->added) {
--- a/Apricothead/src/Coordination/MemberChange.h
+++ b/Apricothead/src/Coordination/MemberChange.h
@@ -10,7 +10,9 @@
 
 /** \class MemberChange
  * \ingroup Coordination_Module
- * \brief The steps that replace, add or remove a replica: add a learner, promote it when it has caught up, remove the dead one.
+ * \brief The steps that replace, add or remove a replica: add a learner, wait until it has caught up, promote it and remove the other one.
+ *
+ * A replica that is dead is removed before the promotion: of four voters with one dead, the loss of the new one would stop the group.
  *
  * Holds no progress of its own but the invited member, so that any leader can take up a change that another one began.
  */
@@ -27,13 +29,19 @@
     /** The process at the address has answered with its identity. */
     void invited(Wire::Member member);
 
-    /** \returns the membership to propose next, or nothing when there is none to propose (now) */
-    std::optional<Wire::Membership> next(const Raft &raft) const;
+    /** \a removedIsReachable: whether the member to remove has been heard lately. \returns the membership to propose next, or nothing when
+     * there is none to propose (now) */
+    std::optional<Wire::Membership> next(const Raft &raft, bool removedIsReachable) const;
+
+    /** \returns the identity of the member to remove, empty when none is */
+    const std::string &removed() const;
 
     /** \returns true when all steps are committed and every voter has what is committed */
     bool isDone(const Raft &raft) const;
 
 private:
+    bool removes(const Wire::Membership &membership) const;
+
     std::string remove;
     std::string addAddress;
     std::optional<Wire::Member> added;
@@ -47,5 +55,9 @@
 /** \returns the member at \a address, null when there is none */
 const Wire::Member *findAddress(const Wire::Membership &membership, const std::string &address);
 
+Wire::Membership withLearner(const Wire::Membership &membership, const Wire::Member &added);
+Wire::Membership withPromoted(const Wire::Membership &membership, const std::string &replica);
+Wire::Membership without(const Wire::Membership &membership, const std::string &replica);
+
 } // namespace detail
 } // namespace Apricothead
--- a/Apricothead/src/Coordination/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/ReplicaTask.cpp
@@ -161,6 +161,7 @@
     void answerReads(const std::vector<RaftRead> &reads);
     void answerQuery(const PeerId &peer, const Wire::Query &query);
     Wire::ClusterStatus status() const;
+    bool isReachable(const std::string &replica) const;
     bool isRedundant() const;
     std::string leaderAddress() const;
 
@@ -798,7 +799,6 @@
     status.set_commit_index(this->raft->commitIndex());
     status.set_applied_index(this->appliedIndex);
     status.set_first_index(this->raft->log().firstIndex());
-    const std::uint64_t silence = static_cast<std::uint64_t>(this->settings.timing.linkSilence.count());
     for (const Wire::Member &member : this->raft->membership().members()) {
         Wire::ReplicaStatus *replica = status.add_replicas();
         replica->set_replica(member.replica());
@@ -807,8 +807,7 @@
         replica->set_availability_zone(member.availability_zone());
         const bool self = member.replica() == this->store->replica();
         const auto progress = this->raft->progress().find(member.replica());
-        const auto heard = this->replicaHeardMs.find(member.replica());
-        replica->set_reachable(self || (heard != this->replicaHeardMs.end() && this->now() - heard->second <= silence));
+        replica->set_reachable(self || this->isReachable(member.replica()));
         replica->set_match_index(self ? this->raft->log().lastIndex() : (progress == this->raft->progress().end() ? 0 : progress->second.match));
     }
     for (Wire::ProcessStatus &process : this->directory.processes(this->now())) {
@@ -826,9 +825,15 @@
     return status;
 }
 
-bool ReplicaTask::Private::isRedundant() const
+bool ReplicaTask::Private::isReachable(const std::string &replica) const
 {
     const std::uint64_t silence = static_cast<std::uint64_t>(this->settings.timing.linkSilence.count());
+    const auto heard = this->replicaHeardMs.find(replica);
+    return heard != this->replicaHeardMs.end() && this->now() - heard->second <= silence;
+}
+
+bool ReplicaTask::Private::isRedundant() const
+{
     std::size_t whole = 0;
     for (const Wire::Member &member : this->raft->membership().members()) {
         if (member.learner()) {
@@ -839,10 +844,9 @@
             continue;
         }
         const auto progress = this->raft->progress().find(member.replica());
-        const auto heard = this->replicaHeardMs.find(member.replica());
-        const bool reachable = heard != this->replicaHeardMs.end() && this->now() - heard->second <= silence;
-        if (!reachable || progress == this->raft->progress().end() || progress->second.match < this->raft->log().membershipIndex()
-            || progress->second.probing) {
+        const bool hasAll
+            = progress != this->raft->progress().end() && progress->second.match >= this->raft->log().membershipIndex() && !progress->second.probing;
+        if (!hasAll || !this->isReachable(member.replica())) {
             return false;
         }
         ++whole;
@@ -998,7 +1002,7 @@
         }
         return;
     }
-    if (const auto membership = this->change->change.next(*this->raft)) {
+    if (const auto membership = this->change->change.next(*this->raft, this->isReachable(this->change->change.removed()))) {
         if (this->raft->proposeMembership(*membership)) {
             logLine(LogLevel::Info, "membership-proposed", {{"members", membership->ShortDebugString()}});
             this->scheduleFlush();
--- a/Apricothead/src/State/Raft.cpp
+++ b/Apricothead/src/State/Raft.cpp
@@ -18,6 +18,14 @@
     return voters;
 }
 
+bool contains(const Wire::Membership &membership, const std::string &replica)
+{
+    const auto &all = membership.members();
+    return std::any_of(all.begin(), all.end(), [&replica](const Wire::Member &member) {
+        return member.replica() == replica;
+    });
+}
+
 } // namespace
 
 Raft::Raft(RaftOptions given, RaftStored stored)
@@ -123,7 +131,7 @@
         this->tickLeader();
         return;
     }
-    if (this->electionElapsed < this->electionTimeout || !this->isVoter(this->options.self)) {
+    if (this->electionElapsed < this->electionTimeout || !this->mayCampaign()) {
         return;
     }
     this->startElection(RaftRole::PreCandidate, false);
@@ -131,11 +139,18 @@
 
 void Raft::campaign()
 {
-    if (this->currentRole != RaftRole::Leader && this->isVoter(this->options.self)) {
+    if (this->currentRole != RaftRole::Leader && this->mayCampaign()) {
         this->startElection(RaftRole::PreCandidate, false);
     }
 }
 
+bool Raft::mayCampaign() const
+{
+    // A replica whose removal is not committed may hold the longest log: without it nobody could be elected.
+    const Wire::Membership &committed = this->entries.membershipAt(this->commit);
+    return votersOf(this->membership()).contains(this->options.self) || votersOf(committed).contains(this->options.self);
+}
+
 void Raft::resetElectionTimer()
 {
     this->electionElapsed = 0;
@@ -252,11 +267,7 @@
 {
     const bool pre = message.kind() == Wire::RAFT_KIND_PRE_VOTE;
     // A replica that knows no membership with itself in it has lost its log or never had one: its vote would count for entries that it lacks.
-    const auto &all = this->membership().members();
-    const bool belongs = std::any_of(all.begin(), all.end(), [this](const Wire::Member &one) {
-        return one.replica() == this->options.self;
-    });
-    if (!belongs) {
+    if (!contains(this->membership(), this->options.self) && !contains(this->entries.membershipAt(this->commit), this->options.self)) {
         return false;
     }
     const bool free = pre ? message.term() > this->hardState.term : (this->hardState.vote.empty() || this->hardState.vote == message.from());
@@ -539,7 +550,7 @@
             continue;
         }
         const auto found = this->members.find(voter);
-        if (found == this->members.end() || found->second.match < this->commit) {
+        if (found == this->members.end() || found->second.match < this->commit || !found->second.active) {
             return RaftRefusal::NotCaughtUp;
         }
     }
--- a/Apricothead/src/State/Raft.h
+++ b/Apricothead/src/State/Raft.h
@@ -51,7 +51,7 @@
     ChangePending,
     /** More than one voter would change, or none would be left. */
     NotOneVoter,
-    /** The new voter was no learner before, or lacks committed entries. */
+    /** The new voter was no learner before, lacks committed entries, or has not been heard lately. */
     NotCaughtUp,
 };
 
@@ -148,6 +148,7 @@
     bool hasLease() const;
     bool passesTermCheck(const Wire::RaftMessage &message);
     void refuseOldTerm(const Wire::RaftMessage &message);
+    bool mayCampaign() const;
     bool mayVote(const Wire::RaftMessage &message) const;
 
     // Follower
--- /dev/null
+++ b/test/raftworld.h
@@ -0,0 +1,433 @@
+#pragma once
+
+#include <Apricothead/State>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace Apricothead::Test {
+
+/** A promise of the consensus core that a schedule has broken. */
+struct Broken : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+/** How a RaftWorld is set up. */
+struct RaftWorldOptions {
+    std::size_t voters = 3;
+    std::uint64_t seed = 1;
+    std::uint64_t compactEvery = 12;
+    std::uint64_t keep = 4;
+};
+
+/** One replica: the core, and a disk that keeps what was synced. */
+struct RaftNode {
+    std::string id;
+    std::unique_ptr<Raft> raft;
+    RaftStored disk;
+    bool frozen = false;
+    bool wiped = false;
+    std::uint64_t applied = 0;
+    std::uint64_t hash = 0;
+    std::uint64_t seenTerm = 0;
+    std::map<std::uint64_t, std::uint64_t> readsWanted;
+};
+
+/** Several cores, and a network that loses, doubles and reorders; every step checks the promises. */
+class RaftWorld
+{
+public:
+    explicit RaftWorld(RaftWorldOptions given) : options(given), random(given.seed)
+    {
+        RaftStored first;
+        first.hardState.term = 1;
+        first.snapshot = RaftSnapshot{.index = 1, .term = 1, .membership = {}, .data = this->dataOf(0)};
+        for (std::size_t number = 0; number < this->options.voters; ++number) {
+            Wire::Member *member = first.snapshot->membership.add_members();
+            member->set_replica(this->nextId());
+        }
+        this->committed[1] = {1, {}};
+        this->hashes[1] = 0;
+        for (const Wire::Member &member : first.snapshot->membership.members()) {
+            this->addNode(member.replica(), first);
+        }
+    }
+
+    std::string nextId()
+    {
+        return "n" + std::to_string(++this->ids);
+    }
+
+    RaftNode &addNode(const std::string &id, RaftStored disk = {})
+    {
+        RaftNode &node = this->nodes[id];
+        node.id = id;
+        node.disk = std::move(disk);
+        this->boot(node);
+        return node;
+    }
+
+    void boot(RaftNode &node)
+    {
+        node.raft = std::make_unique<Raft>(
+            RaftOptions{
+                .self = node.id,
+                .electionTicks = 8,
+                .heartbeatTicks = 2,
+                .maxAppendBytes = 64,
+                .snapshotPieceBytes = 48,
+                .maxInFlight = 16,
+                .random =
+                    [this] {
+                        return this->random();
+                    },
+            },
+            node.disk);
+        node.frozen = false;
+        node.readsWanted.clear();
+        node.applied = node.disk.snapshot ? node.disk.snapshot->index : 0;
+        node.hash = node.disk.snapshot ? hashOf(*node.disk.snapshot->data) : 0;
+    }
+
+    // ---- faults and input ----
+
+    /** The process ends; what was not synced is gone. */
+    void crash(RaftNode &node)
+    {
+        node.raft.reset();
+    }
+
+    /** The disk is lost with the process; whoever starts there next is somebody else. */
+    void wipe(RaftNode &node)
+    {
+        node.raft.reset();
+        node.disk = {};
+        node.wiped = true;
+    }
+
+    void cut(const std::string &left, const std::string &right)
+    {
+        this->cuts.insert({left, right});
+        this->cuts.insert({right, left});
+    }
+
+    void heal()
+    {
+        this->cuts.clear();
+    }
+
+    void tick(RaftNode &node)
+    {
+        if (node.raft && !node.frozen) {
+            node.raft->tick();
+            this->pump(node);
+        }
+    }
+
+    void propose(RaftNode &node)
+    {
+        if (node.raft && !node.frozen && node.raft->propose("c" + std::to_string(++this->proposals))) {
+            this->pump(node);
+        }
+    }
+
+    void read(RaftNode &node)
+    {
+        if (!node.raft || node.frozen) {
+            return;
+        }
+        const std::uint64_t id = ++this->reads;
+        if (node.raft->read(id)) {
+            node.readsWanted[id] = this->acknowledged;
+            this->pump(node);
+        }
+    }
+
+    void deliver(std::size_t choice, bool keep)
+    {
+        if (this->network.empty()) {
+            return;
+        }
+        const std::size_t place = choice % this->network.size();
+        const Wire::RaftMessage message = this->network[place];
+        if (!keep) {
+            this->network.erase(this->network.begin() + static_cast<std::ptrdiff_t>(place));
+        }
+        const auto found = this->nodes.find(message.to());
+        if (found == this->nodes.end() || this->cuts.contains({message.from(), message.to()})) {
+            return;
+        }
+        RaftNode &node = found->second;
+        if (node.raft && !node.frozen) {
+            node.raft->step(message);
+            this->pump(node);
+        }
+    }
+
+    /** The next pump of \a node ends in a crash: after the early messages, before the sync. */
+    void crashBeforeNextSync(const std::string &id)
+    {
+        this->crashing = id;
+    }
+
+    // ---- what the owner of a core does ----
+
+    void pump(RaftNode &node)
+    {
+        while (node.raft) {
+            RaftOutput output = node.raft->take();
+            if (output.empty()) {
+                break;
+            }
+            this->send(output.early);
+            if (output.needsSync()) {
+                if (this->crashing == node.id) {
+                    this->crashing.clear();
+                    this->crash(node);
+                    return;
+                }
+                this->sync(node, output);
+                node.raft->synced();
+            }
+            this->send(output.messages);
+            this->applyAll(node, output);
+            this->checkReads(node, output);
+        }
+        this->checkLeader(node);
+        this->compactIfDue(node);
+    }
+
+    void compact(RaftNode &node)
+    {
+        if (!node.raft || node.applied <= node.raft->log().snapshot().index) {
+            return;
+        }
+        node.disk.snapshot = node.raft->compact(node.applied, this->dataOf(node.hash), this->options.keep);
+        const std::uint64_t first = node.raft->log().firstIndex();
+        while (!node.disk.entries.empty() && node.disk.entries.front().index() < first) {
+            node.disk.baseTerm = node.disk.entries.front().term();
+            node.disk.entries.erase(node.disk.entries.begin());
+        }
+    }
+
+    // ---- views ----
+
+    /** \returns the node that leads the highest term, null when none leads */
+    RaftNode *leader()
+    {
+        RaftNode *best = nullptr;
+        for (auto &[id, node] : this->nodes) {
+            if (!node.raft || node.raft->role() != RaftRole::Leader) {
+                continue;
+            }
+            if (best == nullptr || node.raft->term() > best->raft->term()) {
+                best = &node;
+            }
+        }
+        return best;
+    }
+
+    RaftNode *pick(std::size_t choice)
+    {
+        auto place = this->nodes.begin();
+        std::advance(place, static_cast<std::ptrdiff_t>(choice % this->nodes.size()));
+        return &place->second;
+    }
+
+    static std::size_t votersIn(const Wire::Membership &membership)
+    {
+        std::size_t voters = 0;
+        for (const Wire::Member &member : membership.members()) {
+            voters += member.learner() ? 0 : 1;
+        }
+        return voters;
+    }
+
+    /** \returns whether a majority still has its disk in every view that could elect a leader, after \a id has lost its own */
+    bool survivesWipe(const std::string &id) const
+    {
+        for (const auto &[name, node] : this->nodes) {
+            if (node.wiped || !this->wouldLose(node, id)) {
+                continue;
+            }
+            return false;
+        }
+        return true;
+    }
+
+    /** \returns one line a replica, for the message of a failure */
+    std::string describe() const
+    {
+        std::string text;
+        for (const auto &[id, node] : this->nodes) {
+            text += "\n" + id + (node.wiped ? " wiped" : "") + (node.raft ? "" : " down");
+            if (!node.raft) {
+                continue;
+            }
+            text += " role " + std::to_string(static_cast<int>(node.raft->role())) + " term " + std::to_string(node.raft->term()) + " log "
+                + std::to_string(node.raft->log().firstIndex()) + "-" + std::to_string(node.raft->log().lastIndex()) + " commit "
+                + std::to_string(node.raft->commitIndex()) + " members";
+            for (const Wire::Member &member : node.raft->membership().members()) {
+                text += " " + member.replica() + (member.learner() ? "(learner)" : "");
+            }
+        }
+        return text;
+    }
+
+    RaftWorldOptions options;
+    std::mt19937_64 random;
+    std::map<std::string, RaftNode> nodes;
+    std::vector<Wire::RaftMessage> network;
+    std::set<std::pair<std::string, std::string>> cuts;
+    /** First applied (term, data) by index; no replica may ever apply another one. */
+    std::map<std::uint64_t, std::pair<std::uint64_t, std::string>> committed;
+    std::map<std::uint64_t, std::uint64_t> hashes;
+    std::map<std::uint64_t, std::string> leaders;
+    std::uint64_t acknowledged = 1;
+    std::uint64_t confirmedReads = 0;
+    std::uint64_t installedSnapshots = 0;
+
+private:
+    static constexpr std::size_t SnapshotBytes = 150;
+
+    static std::shared_ptr<const std::string> dataOf(std::uint64_t hash)
+    {
+        std::string text = std::to_string(hash);
+        text.resize(SnapshotBytes, ' ');
+        return std::make_shared<const std::string>(std::move(text));
+    }
+
+    static std::uint64_t hashOf(const std::string &data)
+    {
+        return std::stoull(data);
+    }
+
+    bool wouldLose(const RaftNode &node, const std::string &id) const
+    {
+        const Wire::Membership membership = node.raft ? node.raft->membership() : RaftLog(node.disk).membership();
+        // A leader that has not noticed the loss of a learner may still promote it.
+        std::size_t lostVoters = 0;
+        std::size_t lostLearners = 0;
+        for (const Wire::Member &member : membership.members()) {
+            const auto found = this->nodes.find(member.replica());
+            const bool gone = found == this->nodes.end() || found->second.wiped || member.replica() == id;
+            (member.learner() ? lostLearners : lostVoters) += gone ? 1 : 0;
+        }
+        const std::size_t voters = votersIn(membership);
+        const std::size_t all = static_cast<std::size_t>(membership.members_size());
+        return voters > 0 && (2 * lostVoters >= voters || 2 * (lostVoters + lostLearners) >= all);
+    }
+
+    void send(const std::vector<Wire::RaftMessage> &messages)
+    {
+        this->network.insert(this->network.end(), messages.begin(), messages.end());
+    }
+
+    static void sync(RaftNode &node, const RaftOutput &output)
+    {
+        if (output.hardState) {
+            node.disk.hardState = *output.hardState;
+        }
+        if (output.snapshot) {
+            node.disk.snapshot = output.snapshot;
+            node.disk.entries.clear();
+        }
+        if (output.entries.empty()) {
+            return;
+        }
+        std::erase_if(node.disk.entries, [&](const Wire::LogEntry &entry) {
+            return entry.index() >= output.entries.front().index();
+        });
+        node.disk.entries.insert(node.disk.entries.end(), output.entries.begin(), output.entries.end());
+    }
+
+    void applyAll(RaftNode &node, const RaftOutput &output)
+    {
+        if (output.snapshot) {
+            ++this->installedSnapshots;
+            node.applied = output.snapshot->index;
+            node.hash = hashOf(*output.snapshot->data);
+            this->checkHash(node);
+        }
+        for (const Wire::LogEntry &entry : output.committed) {
+            this->apply(node, entry);
+        }
+    }
+
+    void apply(RaftNode &node, const Wire::LogEntry &entry)
+    {
+        if (entry.index() != node.applied + 1) {
+            throw Broken(node.id + " applied " + std::to_string(entry.index()) + " after " + std::to_string(node.applied));
+        }
+        const std::pair<std::uint64_t, std::string> value{entry.term(), entry.data()};
+        const auto [place, isNew] = this->committed.try_emplace(entry.index(), value);
+        if (place->second != value) {
+            throw Broken("agreement: " + node.id + " applied another entry at " + std::to_string(entry.index()));
+        }
+        node.applied = entry.index();
+        node.hash = node.hash * 31 + std::hash<std::string>()(entry.data()) + entry.term();
+        this->checkHash(node);
+        if (node.raft->role() == RaftRole::Leader && node.raft->term() == entry.term()) {
+            this->acknowledged = std::max(this->acknowledged, entry.index());
+        }
+    }
+
+    void checkHash(const RaftNode &node)
+    {
+        const auto [place, isNew] = this->hashes.try_emplace(node.applied, node.hash);
+        if (place->second != node.hash) {
+            throw Broken("revert: " + node.id + " has another state at " + std::to_string(node.applied));
+        }
+    }
+
+    void checkReads(RaftNode &node, const RaftOutput &output)
+    {
+        for (const RaftRead &read : output.reads) {
+            const std::uint64_t wanted = node.readsWanted[read.id];
+            if (read.confirmed && node.applied < wanted) {
+                throw Broken("outdated read: " + node.id + " had applied " + std::to_string(node.applied) + " of " + std::to_string(wanted));
+            }
+            this->confirmedReads += read.confirmed ? 1 : 0;
+        }
+    }
+
+    void checkLeader(RaftNode &node)
+    {
+        if (!node.raft || node.raft->role() != RaftRole::Leader || node.seenTerm == node.raft->term()) {
+            return;
+        }
+        const std::uint64_t term = node.raft->term();
+        node.seenTerm = term;
+        const auto [place, isNew] = this->leaders.try_emplace(term, node.id);
+        if (place->second != node.id) {
+            throw Broken("two leaders in term " + std::to_string(term));
+        }
+        for (const auto &[index, value] : this->committed) {
+            const bool known = index < node.raft->log().firstIndex() || node.raft->log().term(index) == value.first;
+            if (value.first < term && !known) {
+                throw Broken("lost command: leader " + node.id + " of term " + std::to_string(term) + " lacks " + std::to_string(index));
+            }
+        }
+    }
+
+    void compactIfDue(RaftNode &node)
+    {
+        if (node.raft && node.applied >= node.raft->log().snapshot().index + this->options.compactEvery) {
+            this->compact(node);
+        }
+    }
+
+    std::uint64_t ids = 0;
+    std::uint64_t proposals = 0;
+    std::uint64_t reads = 0;
+    std::string crashing;
+};
+
+} // namespace Apricothead::Test
