Tests: runUntil stops the loop once

Ruled out: the endpoint task (the failing wait returned in the millisecond it began). Change: one stop a wait; bounds and checks as before.

--- a/test/support/Wait.h
+++ b/test/support/Wait.h
@@ -15,8 +15,11 @@
 {
     constexpr std::chrono::milliseconds Interval{2};
     const std::uint64_t end = loop.nowMs() + static_cast<std::uint64_t>(bound.count());
+    // Stops once: a second stop that the loop has not seen yet would end the next run() at once.
+    bool ended = false;
     Timer poll(loop, [&] {
-        if (condition() || loop.nowMs() >= end) {
+        if (!ended && (condition() || loop.nowMs() >= end)) {
+            ended = true;
             loop.stop();
         }
     });
