Routing: a home endpoint for each session, learned queue cost, calmer ejection

Ruled out: longer trust in reports (RR 3,000 ms), full trust in the home (HT 1), a home factor of 0.35, a pace learned without prefix share: each was no better or worse (trials).

--- a/Apricothead/src/Coordination/EndpointTracker.cpp
+++ b/Apricothead/src/Coordination/EndpointTracker.cpp
@@ -8,8 +8,11 @@
 namespace {
 
 /** Weights of the newest sample in the moving averages. */
-constexpr double PaceWeight = 0.15;
+constexpr double PaceWeight = 0.1;
+/** Slower than thought is believed sooner: traffic that goes there meanwhile suffers. */
+constexpr double SlowerPaceWeight = 0.3;
 constexpr double TimeWeight = 0.1;
+constexpr double PromptWeight = 0.02;
 constexpr double ErrorWeight = 0.1;
 /** One sample changes the pace by at most this factor's share. */
 constexpr double PaceSampleLimit = 20;
@@ -106,6 +109,9 @@
     if (history == nullptr) {
         return ticket;
     }
+    if (decision.prefillMs > 0) {
+        this->promptMs = averaged(this->promptMs, decision.prefillMs, PromptWeight);
+    }
     history->awaiting.insert(nowMs);
     history->sinceReport.insert(nowMs);
     ++view->ownRunning;
@@ -130,7 +136,7 @@
         return;
     }
     const double ratio = std::clamp(took / ticket.ordinaryMs, 1 / PaceSampleLimit, PaceSampleLimit);
-    view->pace *= std::pow(ratio / view->pace, PaceWeight);
+    view->pace *= std::pow(ratio / view->pace, ratio > view->pace ? SlowerPaceWeight : PaceWeight);
 }
 
 void EndpointTracker::finished(const RunTicket &ticket, RunEnd end, double nowMs)
@@ -273,6 +279,11 @@
     return *middle;
 }
 
+double EndpointTracker::typicalPromptMs() const
+{
+    return this->promptMs;
+}
+
 const RoutingTable &EndpointTracker::table() const
 {
     return this->known;
--- a/Apricothead/src/Coordination/EndpointTracker.h
+++ b/Apricothead/src/Coordination/EndpointTracker.h
@@ -18,9 +18,9 @@
     unsigned consecutiveFailures = 5;
     double errorShare = 0.4;
     /** Ejected when its pace is this many times that of the median endpoint. */
-    double slowFactor = 4;
+    double slowFactor = 3;
     /** Ejected when its oldest run awaits the first token this many times longer than the median moving average, and at least overdueMs. */
-    double overdueFactor = 8;
+    double overdueFactor = 15;
     double overdueMs = 5000;
     unsigned leastSamples = 6;
     double firstEjectionMs = 5000;
@@ -115,6 +115,9 @@
 
     const RoutingTable &table() const;
 
+    /** \returns a moving average of what the prompts of this entry's runs take an ordinary endpoint, for RoutingRequest::typicalPromptMs */
+    double typicalPromptMs() const;
+
 private:
     struct History {
         std::multiset<double> awaiting;
@@ -142,6 +145,7 @@
 
     EndpointTrackerOptions options;
     RoutingTable known;
+    double promptMs = 0;
     std::unordered_map<std::string, History> histories;
 };
 
--- a/Apricothead/src/Coordination/Routing.cpp
+++ b/Apricothead/src/Coordination/Routing.cpp
@@ -18,11 +18,19 @@
 /** Assumed cost of the parts of a first token; EndpointView::pace corrects it for each endpoint. */
 constexpr double BaseFirstTokenMs = 25;
 constexpr double PrefillMsPerToken = 0.2;
-constexpr double TypicalPromptMs = 150;
+constexpr double TypicalPromptMs = 250;
+/** Part of a reported queue that still waits, and delays, when the request gets there. */
+constexpr double QueueTrust = 0.3;
 constexpr double TypicalRunMs = 4000;
 /** What is left of a report's news after this time is 1/e. */
 constexpr double ReportRelaxationMs = 1500;
 constexpr double OtherZoneMs = 3;
+/** How far an earlier turn is trusted to have run at the home endpoint. */
+constexpr double HomeTrust = 0.8;
+/** A home endpoint is taken unless another is predicted to be quicker by more than this factor. */
+constexpr double HomeFactor = 0.5;
+/** Tokens that are not in a cache also delay those behind: they count this much more than for the request alone. */
+constexpr double MissFactor = 2;
 /** An endpoint that just came back is charged as if this much slower, falling to nothing as it warms up. */
 constexpr double ColdFactor = 3;
 constexpr double ErrorFactor = 10;
@@ -78,7 +86,8 @@
     const double overflow = std::max(0.0, running + trust * view.reportedQueued + 1 - capacity);
     const double slotWait = overflow * runMs / capacity;
     const double prefill = request.promptTokens * (1 - share) * PrefillMsPerToken;
-    return BaseFirstTokenMs * (1 + running / capacity) + prefill + queued * TypicalPromptMs + slotWait;
+    const double typicalMs = request.typicalPromptMs > 0 ? request.typicalPromptMs : TypicalPromptMs;
+    return BaseFirstTokenMs * (1 + running / capacity) + prefill + queued * QueueTrust * typicalMs + slotWait;
 }
 
 struct Scored {
@@ -86,6 +95,7 @@
     int tier = std::numeric_limits<int>::max();
     double ms = 0;
     double share = 0;
+    bool isHome = false;
 
     bool isBetterThan(const Scored &other) const
     {
@@ -97,7 +107,7 @@
 class Ranking
 {
 public:
-    explicit Ranking(const RoutingRequest &asked) : request(asked)
+    explicit Ranking(const RoutingRequest &asked, const EndpointView *homeView = nullptr) : request(asked), home(homeView)
     { }
 
     void consider(const EndpointView &view)
@@ -105,8 +115,11 @@
         if (!mayServe(view) || this->holds(view)) {
             return;
         }
-        const double share = prefixShare(view, this->request);
-        const Scored scored{.view = &view, .tier = tier(view, this->request), .ms = predictFirstTokenMs(view, this->request, share), .share = share};
+        const bool isHome = &view == this->home;
+        const double hinted = prefixShare(view, this->request);
+        const double share = isHome ? std::max(hinted, HomeTrust * std::clamp(this->request.homeShare, 0.0, 1.0)) : hinted;
+        const double predicted = predictFirstTokenMs(view, this->request, share);
+        const Scored scored{.view = &view, .tier = tier(view, this->request), .ms = predicted * (isHome ? HomeFactor : 1), .share = share, .isHome = isHome};
         if (this->count == this->best.size() && !scored.isBetterThan(this->best.back())) {
             return;
         }
@@ -137,6 +150,7 @@
         decision.endpoint = first.view->endpoint;
         decision.incarnation = first.view->incarnation;
         decision.predictedMs = first.ms;
+        decision.prefillMs = this->request.promptTokens * (1 - first.share) * PrefillMsPerToken;
         decision.ordinaryMs = ordinaryFirstTokenMs(*first.view, this->request, first.share);
         decision.reason = reasonOf(first);
         for (std::size_t i = 1; i < this->count; ++i) {
@@ -163,10 +177,14 @@
         if (scored.tier == 1) {
             return "only-ejected-left";
         }
+        if (scored.isHome) {
+            return "session-home";
+        }
         return scored.share > 0 ? "prefix-and-wait" : "least-predicted-wait";
     }
 
     const RoutingRequest &request;
+    const EndpointView *home;
     std::array<Scored, AlternativeCount + 1> best;
     std::size_t count = 0;
 };
@@ -218,6 +236,8 @@
     if (view.oldestAwaitingSinceMs > 0 && request.nowMs > 0) {
         predicted = std::max(predicted, request.nowMs - view.oldestAwaitingSinceMs);
     }
+    const double prefill = request.promptTokens * (1 - prefixShare) * PrefillMsPerToken * std::max(0.1, view.pace);
+    predicted += (MissFactor - 1) * prefill;
     predicted *= 1 + ColdFactor * (1 - std::clamp(view.warmth, 0.0, 1.0)) + ErrorFactor * std::clamp(view.errorShare, 0.0, 1.0);
     const bool otherZone = !request.availabilityZone.empty() && view.availabilityZone != request.availabilityZone;
     return predicted + (otherZone ? OtherZoneMs : 0);
@@ -255,10 +275,14 @@
 RoutingDecision chooseEndpoint(const std::vector<EndpointView> &slots,
                                const std::vector<std::uint32_t> &members,
                                const std::vector<std::uint32_t> &preferred,
+                               std::uint32_t home,
                                const RoutingRequest &request,
                                const RandomSource &random)
 {
-    Ranking ranking(request);
+    Ranking ranking(request, home == NoSlot ? nullptr : &slots[home]);
+    if (home != NoSlot) {
+        ranking.consider(slots[home]);
+    }
     const auto viewAt = [&](std::size_t index) {
         ranking.consider(slots[members[index]]);
     };
--- a/Apricothead/src/Coordination/Routing.h
+++ b/Apricothead/src/Coordination/Routing.h
@@ -76,8 +76,15 @@
     std::vector<std::string> avoid;
     /** Hints beside EndpointView::prefixShare, for views that serve many requests. */
     std::vector<PrefixCandidate> prefixes;
+    /** Hash of the session, or of the first message where there is none; 0 for no home. All entries then agree on a home endpoint for
+     * it without a message, so that its next turn finds the cache whichever entry it comes to. Used by RoutingTable. */
+    std::uint64_t homeKey = 0;
+    /** Share of the prompt that an earlier turn of the session has left in a cache; 0 for a first turn. */
+    double homeShare = 0;
     /** The clock of EndpointView::observedMs; 0 when the views were made for this decision. */
     double nowMs = 0;
+    /** EndpointTracker::typicalPromptMs(); 0 when unknown. */
+    double typicalPromptMs = 0;
     /** Entries that share the endpoints, this one included. */
     unsigned entries = 1;
 
@@ -97,6 +104,8 @@
     double predictedMs = 0;
     /** The prediction for an endpoint of ordinary pace without penalties; EndpointTracker learns the pace from it. */
     double ordinaryMs = 0;
+    /** The part of it that the prompt takes. */
+    double prefillMs = 0;
     /** Scores of up to three alternatives, as \c ep-2=140,ep-5=180. */
     std::string alternatives;
 
@@ -112,10 +121,15 @@
 /** Chooses an endpoint for \a request among \a endpoints. \returns the decision; never an endpoint that is leaving, unhealthy or of another version */
 RoutingDecision chooseEndpoint(const std::vector<EndpointView> &endpoints, const RoutingRequest &request, const RandomSource &random);
 
-/** As above, among the endpoints of \a slots that \a members name, all of which serve the request's version. \sa RoutingTable */
+/** No home endpoint. */
+constexpr std::uint32_t NoSlot = 0xFFFFFFFF;
+
+/** As above, among the endpoints of \a slots that \a members name, all of which serve the request's version. \a preferred and \a home
+ * are always scored. \sa RoutingTable */
 RoutingDecision chooseEndpoint(const std::vector<EndpointView> &slots,
                                const std::vector<std::uint32_t> &members,
                                const std::vector<std::uint32_t> &preferred,
+                               std::uint32_t home,
                                const RoutingRequest &request,
                                const RandomSource &random);
 
--- a/Apricothead/src/Coordination/RoutingTable.cpp
+++ b/Apricothead/src/Coordination/RoutingTable.cpp
@@ -1,11 +1,18 @@
 #include "RoutingTable.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace Apricothead {
 
 namespace {
 
+/** Places of each endpoint on the ring; more spread the sessions more evenly. */
+constexpr int RingPoints = 64;
+/** How far the ring is walked past endpoints that may not serve. */
+constexpr std::size_t RingSteps = 200;
+
 std::string versionKey(const std::string &model, const std::string &version)
 {
     std::string key;
@@ -38,9 +45,7 @@
     view.availabilityZone = availabilityZone;
     view.incarnation = incarnation;
     this->servedBySlot[slot] = served;
-    for (const ServedModel &pair : served) {
-        this->slotsByVersion[versionKey(pair.model, pair.version)].push_back(slot);
-    }
+    this->enlist(slot);
 }
 
 void RoutingTable::remove(const std::string &endpoint)
@@ -56,16 +61,54 @@
     this->slotByEndpoint.erase(known);
 }
 
+void RoutingTable::enlist(std::uint32_t slot)
+{
+    const std::string &endpoint = this->slots[slot].endpoint;
+    for (const ServedModel &pair : this->servedBySlot[slot]) {
+        Group &group = this->groups[versionKey(pair.model, pair.version)];
+        group.members.push_back(slot);
+        for (int point = 0; point < RingPoints; ++point) {
+            group.ring.push_back({.hash = XXH3_64bits_withSeed(endpoint.data(), endpoint.size(), static_cast<std::uint64_t>(point)), .slot = slot});
+        }
+        const auto added = group.ring.end() - RingPoints;
+        std::sort(added, group.ring.end());
+        std::inplace_merge(group.ring.begin(), added, group.ring.end());
+    }
+}
+
+std::uint32_t RoutingTable::homeOf(const Group &group, std::uint64_t key) const
+{
+    if (key == 0 || group.ring.empty()) {
+        return NoSlot;
+    }
+    const std::uint64_t hash = XXH3_64bits(&key, sizeof key);
+    const auto first = std::lower_bound(group.ring.begin(), group.ring.end(), RingPoint{.hash = hash});
+    const auto start = static_cast<std::size_t>(first - group.ring.begin());
+    // An endpoint that may not serve hands its sessions to the next ones on the ring.
+    const std::size_t steps = std::min(group.ring.size(), RingSteps);
+    for (std::size_t i = 0; i < steps; ++i) {
+        const RingPoint &point = group.ring[(start + i) % group.ring.size()];
+        const EndpointView &view = this->slots[point.slot];
+        if (view.healthy && view.connected && !view.leaving && !view.ejected) {
+            return point.slot;
+        }
+    }
+    return NoSlot;
+}
+
 void RoutingTable::unlist(std::uint32_t slot)
 {
     for (const ServedModel &pair : this->servedBySlot[slot]) {
-        const auto listed = this->slotsByVersion.find(versionKey(pair.model, pair.version));
-        if (listed == this->slotsByVersion.end()) {
+        const auto listed = this->groups.find(versionKey(pair.model, pair.version));
+        if (listed == this->groups.end()) {
             continue;
         }
-        std::erase(listed->second, slot);
-        if (listed->second.empty()) {
-            this->slotsByVersion.erase(listed);
+        std::erase(listed->second.members, slot);
+        std::erase_if(listed->second.ring, [slot](const RingPoint &point) {
+            return point.slot == slot;
+        });
+        if (listed->second.members.empty()) {
+            this->groups.erase(listed);
         }
     }
     this->servedBySlot[slot].clear();
@@ -85,9 +128,9 @@
 
 RoutingDecision RoutingTable::choose(const RoutingRequest &request, const RandomSource &random) const
 {
-    static const std::vector<std::uint32_t> None;
-    const auto listed = this->slotsByVersion.find(versionKey(request.model, request.version));
-    const std::vector<std::uint32_t> &members = listed == this->slotsByVersion.end() ? None : listed->second;
+    static const Group None;
+    const auto listed = this->groups.find(versionKey(request.model, request.version));
+    const Group &group = listed == this->groups.end() ? None : listed->second;
     std::vector<std::uint32_t> preferred;
     for (const PrefixCandidate &candidate : request.prefixes) {
         const auto known = this->slotByEndpoint.find(candidate.endpoint);
@@ -99,16 +142,16 @@
             preferred.push_back(known->second);
         }
     }
-    return chooseEndpoint(this->slots, members, preferred, request, random);
+    return chooseEndpoint(this->slots, group.members, preferred, this->homeOf(group, request.homeKey), request, random);
 }
 
 std::size_t RoutingTable::usableCount(const std::string &model, const std::string &version) const
 {
-    const auto listed = this->slotsByVersion.find(versionKey(model, version));
-    if (listed == this->slotsByVersion.end()) {
+    const auto listed = this->groups.find(versionKey(model, version));
+    if (listed == this->groups.end()) {
         return 0;
     }
-    return static_cast<std::size_t>(std::count_if(listed->second.begin(), listed->second.end(), [this](std::uint32_t slot) {
+    return static_cast<std::size_t>(std::count_if(listed->second.members.begin(), listed->second.members.end(), [this](std::uint32_t slot) {
         const EndpointView &view = this->slots[slot];
         return view.healthy && view.connected && !view.leaving;
     }));
@@ -116,12 +159,12 @@
 
 unsigned RoutingTable::usableCapacity(const std::string &model, const std::string &version) const
 {
-    const auto listed = this->slotsByVersion.find(versionKey(model, version));
-    if (listed == this->slotsByVersion.end()) {
+    const auto listed = this->groups.find(versionKey(model, version));
+    if (listed == this->groups.end()) {
         return 0;
     }
     unsigned capacity = 0;
-    for (const std::uint32_t slot : listed->second) {
+    for (const std::uint32_t slot : listed->second.members) {
         const EndpointView &view = this->slots[slot];
         if (!view.healthy || !view.connected || view.leaving || view.ejected) {
             continue;
--- a/Apricothead/src/Coordination/RoutingTable.h
+++ b/Apricothead/src/Coordination/RoutingTable.h
@@ -50,13 +50,30 @@
     const std::vector<EndpointView> &views() const;
 
 private:
+    /** One of several places of an endpoint on the ring of its version (consistent hashing). */
+    struct RingPoint {
+        std::uint64_t hash = 0;
+        std::uint32_t slot = 0;
+
+        bool operator<(const RingPoint &other) const
+        {
+            return this->hash != other.hash ? this->hash < other.hash : this->slot < other.slot;
+        }
+    };
+    struct Group {
+        std::vector<std::uint32_t> members;
+        std::vector<RingPoint> ring;
+    };
+
+    void enlist(std::uint32_t slot);
     void unlist(std::uint32_t slot);
+    std::uint32_t homeOf(const Group &group, std::uint64_t key) const;
 
     std::vector<EndpointView> slots;
     std::vector<std::vector<ServedModel>> servedBySlot;
     std::vector<std::uint32_t> freeSlots;
     std::unordered_map<std::string, std::uint32_t> slotByEndpoint;
-    std::unordered_map<std::string, std::vector<std::uint32_t>> slotsByVersion;
+    std::unordered_map<std::string, Group> groups;
 };
 
 } // namespace Apricothead
--- a/bench/EnginePool.cpp
+++ b/bench/EnginePool.cpp
@@ -29,6 +29,11 @@
 
 } // namespace
 
+std::uint64_t prefixName(std::uint64_t group, std::size_t turn)
+{
+    return group * 64 + turn + 1;
+}
+
 EnginePool::EnginePool(EnginePoolOptions wanted, std::uint64_t seed) : options(std::move(wanted)), random(seed)
 {
     for (const EngineOptions &engine : this->options.engines) {
@@ -85,7 +90,10 @@
     engine.prefilling = true;
     const double fill = static_cast<double>(engine.active.size()) / engine.options.slots;
     engine.active.emplace(job.id, job);
-    const double tokens = job.promptTokens - this->cacheHit(engine, job);
+    const double hit = this->cacheHit(engine, job);
+    this->askedTokens += job.promptTokens;
+    this->hitTokens += hit;
+    const double tokens = job.promptTokens - hit;
     const double took = (5 + tokens * engine.options.prefillMsPerToken) * (1 + engine.options.prefillInterference * fill) * engine.options.slowness;
     this->at(this->clockMs + took, [this, index, job, epoch = engine.epoch] {
         if (this->engines[index].epoch == epoch) {
@@ -141,24 +149,26 @@
     }
     engine.cachedTokens += job.promptTokens - found->second.tokens;
     found->second.tokens = job.promptTokens;
-    this->tellCache(index, job.group, false);
+    found->second.turn = job.turns.size();
+    this->tellCache(index, prefixName(job.group, job.turns.size()), false);
     while (engine.cachedTokens > engine.options.cacheTokens && engine.byUse.size() > 1) {
         const std::uint64_t oldest = engine.byUse.back();
         engine.byUse.pop_back();
-        engine.cachedTokens -= engine.cache[oldest].tokens;
+        const Cached evicted = engine.cache[oldest];
+        engine.cachedTokens -= evicted.tokens;
         engine.cache.erase(oldest);
-        this->tellCache(index, oldest, true);
+        this->tellCache(index, prefixName(oldest, evicted.turn), true);
     }
 }
 
-void EnginePool::tellCache(std::size_t index, std::uint64_t group, bool evicted)
+void EnginePool::tellCache(std::size_t index, std::uint64_t prefix, bool evicted)
 {
     if (!this->options.onCacheEvent || std::uniform_real_distribution<double>(0, 1)(this->random) < this->options.eventGaps) {
         return;
     }
     const double lag = this->options.reportLagMs;
-    this->at(this->clockMs + lag, [this, index, group, evicted, lag] {
-        this->options.onCacheEvent(index, group, evicted, lag);
+    this->at(this->clockMs + lag, [this, index, prefix, evicted, lag] {
+        this->options.onCacheEvent(index, prefix, evicted, lag);
     });
 }
 
@@ -218,6 +228,11 @@
     return this->engines[engine].alive && !this->engines[engine].silent;
 }
 
+double EnginePool::hitShare() const
+{
+    return this->askedTokens > 0 ? this->hitTokens / this->askedTokens : 0;
+}
+
 double EnginePool::capacityPerSecond(double promptTokens, double outputTokens) const
 {
     double sum = 0;
--- a/bench/EnginePool.h
+++ b/bench/EnginePool.h
@@ -39,8 +39,13 @@
     double promptTokens = 0;
     double outputTokens = 0;
     bool draft = false;
+    /** Tokens that each earlier turn of the group left, oldest first; empty for a first turn. */
+    std::vector<double> turns;
 };
 
+/** \returns the name of what a group's prompt holds up to and with a turn */
+std::uint64_t prefixName(std::uint64_t group, std::size_t turn);
+
 /** \class EngineReport
  * \brief What an engine says of its load.
  */
@@ -60,7 +65,7 @@
     /** Share of cache events that are lost. */
     double eventGaps = 0.15;
     std::function<void(std::size_t engine, const EngineReport &report)> onReport;
-    std::function<void(std::size_t engine, std::uint64_t group, bool evicted, double ageMs)> onCacheEvent;
+    std::function<void(std::size_t engine, std::uint64_t prefix, bool evicted, double ageMs)> onCacheEvent;
     std::function<void(std::size_t engine, const Job &job)> onFirstToken;
     /** \a whole is false when the engine failed meanwhile. */
     std::function<void(std::size_t engine, const Job &job, bool whole)> onDone;
@@ -90,12 +95,16 @@
     void silence(std::size_t engine);
     bool isAlive(std::size_t engine) const;
 
+    /** \returns the share of prompt tokens that were found in a cache */
+    double hitShare() const;
+
     /** \returns requests a second that the pool serves at most, without cache hits */
     double capacityPerSecond(double promptTokens, double outputTokens) const;
 
 private:
     struct Cached {
         double tokens = 0;
+        std::size_t turn = 0;
         std::list<std::uint64_t>::iterator recent;
     };
     struct Engine {
@@ -127,7 +136,7 @@
     void endDecode(std::size_t engine, const Job &job);
     double cacheHit(Engine &engine, const Job &job);
     void cacheStore(std::size_t engine, const Job &job);
-    void tellCache(std::size_t engine, std::uint64_t group, bool evicted);
+    void tellCache(std::size_t engine, std::uint64_t prefix, bool evicted);
     void report();
 
     EnginePoolOptions options;
@@ -136,6 +145,8 @@
     std::priority_queue<Event> events;
     std::uint64_t eventCount = 0;
     double clockMs = 0;
+    double askedTokens = 0;
+    double hitTokens = 0;
 };
 
 /** \class Spread
--- a/bench/Workload.cpp
+++ b/bench/Workload.cpp
@@ -57,8 +57,10 @@
             .prefixTokens = session.tokens,
             .promptTokens = session.tokens + added,
             .outputTokens = output,
-            .draft = draft};
+            .draft = draft,
+            .turns = session.turns};
     session.tokens = job.promptTokens + output;
+    session.turns.push_back(job.promptTokens);
     if (--session.turnsLeft == 0) {
         session = this->newSession();
     }
--- a/bench/Workload.h
+++ b/bench/Workload.h
@@ -42,6 +42,7 @@
         std::uint64_t group = 0;
         double tokens = 0;
         unsigned turnsLeft = 0;
+        std::vector<double> turns;
     };
 
     Session newSession();
