Settings: listenAddress for endpoint and replica

Cause: the failure tests put a relay between processes, and operators meet address translation: what others connect to isn't always what we bind. Ruled out: a relay on another loopback IP, since the directory announces the bound address. Change: listenAddress, optional; without it nothing changes. The verdict's conversion stands once, in Protocol/WireVerdict.h.

--- a/Apricothead/src/Coordination/EndpointTask.cpp
+++ b/Apricothead/src/Coordination/EndpointTask.cpp
@@ -7,6 +7,7 @@
 #include "ReplicaClient.h"
 #include "RunBuffer.h"
 
+#include "../Protocol/WireVerdict.h"
 #include "../Transport/EventLoop.h"
 #include "../Transport/HttpClient.h"
 #include "../Transport/Log.h"
@@ -34,19 +35,6 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
 }
 
-Wire::Verdict wireVerdict(Verdict verdict)
-{
-    switch (verdict) {
-    case Verdict::NotRun:
-        return Wire::VERDICT_NOT_RUN;
-    case Verdict::MayHaveRun:
-        return Wire::VERDICT_MAY_HAVE_RUN;
-    case Verdict::Ran:
-        return Wire::VERDICT_RAN;
-    }
-    return Wire::VERDICT_MAY_HAVE_RUN;
-}
-
 /** Names a run in the log without the caller's key. */
 std::uint64_t logName(const RunId &id)
 {
@@ -182,7 +170,7 @@
 {
     this->router = std::make_unique<Router>(this->loop,
                                             RouterOptions{
-                                                .address = this->own.address,
+                                                .address = listeningAddress(this->own),
                                                 .silence = this->settings.timing.linkSilence,
                                                 .onMessage =
                                                     [this](const PeerId &peer, std::string_view bytes) {
@@ -501,7 +489,7 @@
     Wire::RunRefused *refused = envelope.mutable_run_refused();
     *refused->mutable_key() = requestKey(id);
     refused->set_attempt(id.attempt);
-    refused->set_verdict(detail::wireVerdict(decision.verdict));
+    refused->set_verdict(wireVerdict(decision.verdict));
     refused->set_reason(decision.reason);
     refused->set_incarnation(this->incarnation);
     logLine(LogLevel::Info,
@@ -568,7 +556,8 @@
     heartbeat.set_leaving(this->gate.isLeaving());
     Wire::EndpointStatus *status = heartbeat.mutable_endpoint();
     status->set_endpoint(this->own.id);
-    status->set_address(this->router->boundAddress());
+    // Port 0 stands for the free one that was taken.
+    status->set_address(this->own.listenAddress.empty() ? this->router->boundAddress() : this->own.address);
     status->set_availability_zone(this->settings.availabilityZone);
     status->set_incarnation(this->incarnation);
     status->set_leaving(this->gate.isLeaving());
--- a/Apricothead/src/Coordination/ReplicaLinks.cpp
+++ b/Apricothead/src/Coordination/ReplicaLinks.cpp
@@ -9,7 +9,7 @@
 {
     this->router = std::make_unique<Router>(this->loop,
                                             RouterOptions{
-                                                .address = this->options.settings.replica->address,
+                                                .address = listeningAddress(*this->options.settings.replica),
                                                 .onMessage =
                                                     [this](const PeerId &peer, std::string_view bytes) {
                                                         this->receive(peer, bytes);
--- a/Apricothead/src/Protocol/Settings.h
+++ b/Apricothead/src/Protocol/Settings.h
@@ -89,6 +89,8 @@
     std::string id;
     /** Where entries connect. */
     std::string address;
+    /** Where this process listens when that differs, for instance behind address translation; empty: on \c address. */
+    std::string listenAddress;
     /** Base URL of the engine or plain service. */
     std::string engineUrl;
     /** True for a model engine, false for a plain service. */
@@ -111,6 +113,8 @@
  */
 struct ReplicaSettings {
     std::string address;
+    /** Where this process listens when that differs; empty: on \c address. */
+    std::string listenAddress;
     std::string dataFolder;
     bool groupCommit = true;
     std::uint64_t snapshotEvery = 10000;
@@ -139,4 +143,11 @@
     bool operator==(const Settings &) const = default;
 };
 
+/** \returns where a role listens whose settings name an address for others and perhaps another one to listen on */
+template <class RoleSettings>
+const std::string &listeningAddress(const RoleSettings &settings)
+{
+    return settings.listenAddress.empty() ? settings.address : settings.listenAddress;
+}
+
 } // namespace Apricothead
--- a/Apricothead/src/Protocol/SettingsReader.cpp
+++ b/Apricothead/src/Protocol/SettingsReader.cpp
@@ -137,6 +137,7 @@
     EndpointSettings endpoint;
     readValue(object, "id", endpoint.id);
     readValue(object, "address", endpoint.address);
+    readValue(object, "listenAddress", endpoint.listenAddress);
     readValue(object, "engineUrl", endpoint.engineUrl);
     endpoint.chat = object.at("kind") == "chat";
     for (const Json &served : object.at("served")) {
@@ -154,6 +155,7 @@
 {
     ReplicaSettings replica;
     readValue(object, "address", replica.address);
+    readValue(object, "listenAddress", replica.listenAddress);
     readValue(object, "dataFolder", replica.dataFolder);
     readValue(object, "groupCommit", replica.groupCommit);
     readValue(object, "snapshotEvery", replica.snapshotEvery);
@@ -213,9 +215,15 @@
     if (settings.endpoint) {
         addresses.emplace_back("/endpoint/address", settings.endpoint->address);
     }
+    if (settings.endpoint && !settings.endpoint->listenAddress.empty()) {
+        addresses.emplace_back("/endpoint/listenAddress", settings.endpoint->listenAddress);
+    }
     if (settings.replica) {
         addresses.emplace_back("/replica/address", settings.replica->address);
     }
+    if (settings.replica && !settings.replica->listenAddress.empty()) {
+        addresses.emplace_back("/replica/listenAddress", settings.replica->listenAddress);
+    }
     return addresses;
 }
 
--- a/Apricothead/src/Protocol/WireVerdict.h
+++ b/Apricothead/src/Protocol/WireVerdict.h
@@ -18,4 +18,18 @@
     }
 }
 
+/** \returns the verdict as messages carry it */
+inline Wire::Verdict wireVerdict(Verdict verdict)
+{
+    switch (verdict) {
+    case Verdict::NotRun:
+        return Wire::VERDICT_NOT_RUN;
+    case Verdict::MayHaveRun:
+        return Wire::VERDICT_MAY_HAVE_RUN;
+    case Verdict::Ran:
+        return Wire::VERDICT_RAN;
+    }
+    return Wire::VERDICT_MAY_HAVE_RUN;
+}
+
 } // namespace Apricothead
