--- a/Apricothead/src/Coordination/StepRun.cpp
+++ b/Apricothead/src/Coordination/StepRun.cpp
@@ -345,6 +345,7 @@
         this->gapSinceMs = this->gapSinceMs == 0 ? this->nowMs() : this->gapSinceMs;
         return;
     }
+    this->acknowledge(done);
     const bool isWhole = done.outcome() == Wire::OUTCOME_WHOLE;
     const bool isServiceAnswer = !this->request.payload.chat() && done.outcome() == Wire::OUTCOME_FAILED && done.status() > 0;
     this->soFar = combined(this->soFar, verdictOf(done.verdict()));
@@ -365,6 +366,17 @@
     this->settle(done.outcome(), done.usage());
 }
 
+void StepRun::acknowledge(const Wire::RunDone &done)
+{
+    // An endpoint process that stops waits until the answer has been fetched.
+    Wire::Envelope message;
+    Wire::ChunkCredit &credit = *message.mutable_chunk_credit();
+    *credit.mutable_key() = done.key();
+    credit.set_attempt(done.attempt());
+    credit.set_next_chunk(done.chunks());
+    this->context.pool.send(this->record.endpoint(), std::move(message));
+}
+
 void StepRun::takeRefused(const Wire::RunRefused &refused)
 {
     const bool isNotRun = refused.verdict() == Wire::VERDICT_NOT_RUN;
--- a/Apricothead/src/Coordination/StepRun.h
+++ b/Apricothead/src/Coordination/StepRun.h
@@ -102,6 +102,7 @@
     void takeStarted(const Wire::RunStarted &started);
     void takeChunk(const Wire::Chunk &chunk);
     void grantCredit();
+    void acknowledge(const Wire::RunDone &done);
     void takeDone(const Wire::RunDone &done);
     void takeRefused(const Wire::RunRefused &refused);
     void abandon(const Wire::RunRefused &refused);
