--- a/test/support/Administrator.cpp
+++ b/test/support/Administrator.cpp
@@ -87,7 +87,8 @@
     Wire::Query query;
     query.mutable_ledger()->set_organisation(organisation);
     Wire::LedgerDay sum;
-    for (const Wire::LedgerDay &day : this->query(query).ledger()) {
+    const Wire::QueryReply reply = this->query(query);
+    for (const Wire::LedgerDay &day : reply.ledger()) {
         sum.set_bills(sum.bills() + day.bills());
         sum.set_cost_micros(sum.cost_micros() + day.cost_micros());
         sum.mutable_usage()->set_calls(sum.usage().calls() + day.usage().calls());
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -87,7 +87,8 @@
     return text;
 }
 
-Cluster::Cluster(ClusterOptions clusterOptions) : options(std::move(clusterOptions)), binary(variable("APRICOTHEAD_BINARY")), tools(variable("APRICOTHEAD_TOOLS"))
+Cluster::Cluster(ClusterOptions clusterOptions)
+    : options(std::move(clusterOptions)), binary(variable("APRICOTHEAD_BINARY")), tools(variable("APRICOTHEAD_TOOLS"))
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "apricothead-test-XXXXXX").string();
     this->workFolder = ::mkdtemp(pattern.data());
@@ -277,12 +278,13 @@
 
 HttpAnswer Cluster::order(unsigned entry, const std::string &id) const
 {
-    return call({.method = "POST",
-                 .url = this->entryUrl(entry) + "/services/yard/orders",
-                 .headers = {{"Authorization", "Bearer key-creek"}, {"Content-Type", "application/json"}, {"Idempotency-Key", id}, {"X-Not-Repeatable", "true"}},
-                 .body = nlohmann::json{{"id", id}}.dump(),
-                 .timeout = std::chrono::milliseconds(30000),
-                 .onData = {}});
+    return call(
+        {.method = "POST",
+         .url = this->entryUrl(entry) + "/services/yard/orders",
+         .headers = {{"Authorization", "Bearer key-creek"}, {"Content-Type", "application/json"}, {"Idempotency-Key", id}, {"X-Not-Repeatable", "true"}},
+         .body = nlohmann::json{{"id", id}}.dump(),
+         .timeout = std::chrono::milliseconds(30000),
+         .onData = {}});
 }
 
 unsigned Cluster::runs(const std::string &prompt) const
