--- a/Apricothead/src/Coordination/EntryTask.cpp
+++ b/Apricothead/src/Coordination/EntryTask.cpp
@@ -294,6 +294,8 @@
     EventLoop &loop;
     Settings settings;
     std::uint64_t incarnation;
+    /** Before the replica client, which asks for it while it is made. */
+    bool isLeaving = false;
     HttpClient http;
     Rater rater;
     Metrics metrics;
@@ -313,7 +315,6 @@
     std::uint64_t decidedMs = 0;
     std::unique_ptr<HttpServer> server;
     std::function<void()> stopped;
-    bool isLeaving = false;
     bool isCutting = false;
 };
 
--- a/Apricothead/src/Coordination/RequestRun.h
+++ b/Apricothead/src/Coordination/RequestRun.h
@@ -63,7 +63,7 @@
     void rateInBackground();
     std::string ratingRequest(const std::string &text) const;
     void finishAnswer(const std::string &version);
-    void failAnswer(CallerError error);
+    void failAnswer(const CallerError &error);
     void leave();
     void ended(std::string_view how, Verdict verdict, unsigned status);
 
--- a/Apricothead/src/Coordination/StepRun.h
+++ b/Apricothead/src/Coordination/StepRun.h
@@ -117,7 +117,7 @@
     void sendCancel();
     void end(CallerError error);
     void endAndFinish(CallerError error);
-    void endStep(StepEnd stepEnd);
+    void endStep(const StepEnd &stepEnd);
     void endTicket(RunEnd runEnd);
     void endEvidence(RunEnd runEnd);
     void finish();
