Entry: organisations' limits and a fair queue before each request

Cause: nothing bounded what one organisation could ask, and an overloaded pool made requests wait at the engines without a true not-run. Ruled out: a counter in the replicated state (a commit for each request); the shared limiter splits limits by digests. Change: AdmissionControl drives SharedLimiter and AdmissionQueue; waits are bounded by settings; sessions get a home endpoint. Before: no limits.

--- a/Apricothead/src/Coordination/EndpointPool.cpp
+++ b/Apricothead/src/Coordination/EndpointPool.cpp
@@ -152,6 +152,11 @@
     return decision;
 }
 
+ModelLoad EndpointPool::loadOf(const std::string &model) const
+{
+    return this->tracker.table().loadOf(model);
+}
+
 RunTicket EndpointPool::started(const RoutingDecision &decision, const std::vector<PrefixBlock> &chain)
 {
     const double now = this->nowMs();
--- a/Apricothead/src/Coordination/EndpointPool.h
+++ b/Apricothead/src/Coordination/EndpointPool.h
@@ -38,6 +38,9 @@
     /** Chooses an endpoint and logs the decision. \a prefixes are those of the request's prompt. */
     RoutingDecision choose(RoutingRequest request, const std::vector<PrefixBlock> &prefixes, const std::string &requestId);
 
+    /** \returns the load of the endpoints that serve \a model */
+    ModelLoad loadOf(const std::string &model) const;
+
     RunTicket started(const RoutingDecision &decision, const std::vector<PrefixBlock> &prefixes);
     void firstToken(RunTicket &ticket);
     void finished(const RunTicket &ticket, RunEnd end);
--- a/Apricothead/src/Coordination/EntryTask.cpp
+++ b/Apricothead/src/Coordination/EntryTask.cpp
@@ -1,5 +1,6 @@
 #include "EntryTask.h"
 
+#include "AdmissionControl.h"
 #include "CallerApi.h"
 #include "EntryContext.h"
 #include "Rater.h"
@@ -72,6 +73,7 @@
                         [this](Wire::Command command, std::function<void(const ProposeOutcome &)> done) {
                             this->replicas.propose(std::move(command), this->settings.timing.proposal, std::move(done));
                         }})
+        , admission(this->admissionOptions())
         , replicas(eventLoop, this->replicaOptions())
         , context(this->makeContext())
         , api(this->apiOptions())
@@ -120,6 +122,7 @@
         };
         options.onConfiguration = [this](const Wire::Configuration &configuration) {
             this->pool.setConfiguration(configuration);
+            this->admission.configure(configuration);
             logLine(LogLevel::Info, "configuration-in-force", {{"revision", configuration.revision()}});
         };
         options.onDirectory = [this](const std::vector<Wire::EndpointStatus> &endpoints) {
@@ -128,6 +131,22 @@
         };
         options.onDigests = [this](const std::vector<Wire::EntryDigest> &digests) {
             this->rollouts.takeDigests(digests, wallClockMs());
+            this->admission.takeDigests(digests);
+        };
+        return options;
+    }
+
+    AdmissionControlOptions admissionOptions()
+    {
+        AdmissionControlOptions options;
+        options.entry = this->settings.process;
+        options.interactiveWait = this->settings.entry->interactiveWait;
+        options.draftWait = this->settings.entry->draftWait;
+        options.loadOf = [this](const std::string &model) {
+            return this->pool.loadOf(model);
+        };
+        options.nowMs = [this] {
+            return static_cast<double>(this->loop.nowMs());
         };
         return options;
     }
@@ -198,15 +217,26 @@
     void run(CallerRequest request, std::unique_ptr<CallerAnswer> answer)
     {
         const std::uint64_t number = this->nextRequest++;
-        const auto run = std::make_shared<RequestRun>(this->context, std::move(request), std::move(answer), [this, number] {
+        const auto run = std::make_shared<RequestRun>(this->context, std::move(request), std::move(answer), [this, number](const RequestEnd &requestEnd) {
             // Later: the request is still executing.
             this->endedRequests.push_back(number);
+            this->admission.cancel(number);
+            this->admission.finished(number, requestEnd.tokens, requestEnd.mayHaveRun);
         });
         this->requests[number] = run;
-        run->start();
+        run->wait();
+        this->admission.offer(
+            number,
+            run->asked(),
+            [run] {
+                run->start();
+            },
+            [run](const CallerError &error) {
+                run->cut(error);
+            });
     }
 
-    Wire::Heartbeat describe() const
+    Wire::Heartbeat describe()
     {
         Wire::Heartbeat heartbeat;
         heartbeat.add_roles("entry");
@@ -219,6 +249,9 @@
         for (Wire::VersionEvidence &evidence : this->rollouts.digest(wallClockMs())) {
             digest.add_evidence()->Swap(&evidence);
         }
+        for (Wire::OrganisationDemand &demand : this->admission.digest()) {
+            digest.add_demands()->Swap(&demand);
+        }
         return heartbeat;
     }
 
@@ -226,6 +259,7 @@
     {
         this->pool.tick();
         this->runs.tick();
+        this->admission.tick();
         this->decideRollouts();
         this->dropEnded();
         this->checkStopped();
@@ -304,6 +338,7 @@
     RunRegistry runs;
     EndpointPool pool;
     RolloutDriver rollouts;
+    AdmissionControl admission;
     ReplicaClient replicas;
     EntryContext context;
     CallerApi api;
--- a/Apricothead/src/Coordination/RequestRun.cpp
+++ b/Apricothead/src/Coordination/RequestRun.cpp
@@ -36,7 +36,10 @@
 
 } // namespace
 
-RequestRun::RequestRun(EntryContext &entryContext, CallerRequest callerRequest, std::unique_ptr<CallerAnswer> callerAnswer, std::function<void()> hook)
+RequestRun::RequestRun(EntryContext &entryContext,
+                       CallerRequest callerRequest,
+                       std::unique_ptr<CallerAnswer> callerAnswer,
+                       std::function<void(const RequestEnd &)> hook)
     : context(entryContext)
     , request(std::make_shared<const CallerRequest>(std::move(callerRequest)))
     , answer(std::move(callerAnswer))
@@ -48,10 +51,9 @@
     , prefixes(prefixesOf(*request))
 { }
 
-void RequestRun::start()
+void RequestRun::wait()
 {
     this->startedMs = this->context.loop.nowMs();
-    this->planSteps();
     const std::weak_ptr<RequestRun> weak = this->weak_from_this();
     this->answer->onDisconnect([weak] {
         if (const std::shared_ptr<RequestRun> self = weak.lock()) {
@@ -65,6 +67,11 @@
         }
     });
     this->keepAlive.startRepeating(this->context.settings.entry->keepAlive);
+}
+
+void RequestRun::start()
+{
+    this->planSteps();
     this->startStep();
 }
 
@@ -174,6 +181,7 @@
 
 void RequestRun::takeEnd(const StepEnd &stepEnd)
 {
+    this->tokens += static_cast<double>(stepEnd.usage.input_tokens() + stepEnd.usage.output_tokens());
     if (this->isLastStep()) {
         this->endDirect(stepEnd);
     } else {
@@ -383,7 +391,12 @@
              {"firstByteMs", this->firstByteMs == 0 ? std::uint64_t{0} : this->firstByteMs - this->startedMs},
              {"tookMs", now - this->startedMs}});
     this->context.metrics.count("requests", verdictName(verdict));
-    this->endedHook();
+    this->endedHook({.tokens = this->tokens, .mayHaveRun = verdict != Verdict::NotRun});
+}
+
+const CallerRequest &RequestRun::asked() const
+{
+    return *this->request;
 }
 
 const std::string &RequestRun::id() const
--- a/Apricothead/src/Coordination/RequestRun.h
+++ b/Apricothead/src/Coordination/RequestRun.h
@@ -14,6 +14,16 @@
 
 namespace Apricothead {
 
+/** \class RequestEnd
+ * \ingroup Coordination_Module
+ * \brief What a request used, all its steps together.
+ */
+struct RequestEnd {
+    double tokens = 0;
+    /** False when it certainly did not run. */
+    bool mayHaveRun = false;
+};
+
 /** \class RequestRun
  * \ingroup Coordination_Module
  * \brief One caller's request from its admission to its answer: one step, or for a cascade one step for each model tried.
@@ -22,15 +32,18 @@
 {
 public:
     /** \a ended is called once, when the caller has its answer or has left. */
-    RequestRun(EntryContext &context, CallerRequest request, std::unique_ptr<CallerAnswer> answer, std::function<void()> ended);
+    RequestRun(EntryContext &context, CallerRequest request, std::unique_ptr<CallerAnswer> answer, std::function<void(const RequestEnd &)> ended);
     RequestRun(const RequestRun &) = delete;
     RequestRun &operator=(const RequestRun &) = delete;
 
+    /** Takes the caller's side into care; the request waits for its turn. */
+    void wait();
     void start();
     /** Ends the request with \a error although it may still run. */
     void cut(const CallerError &error);
 
     const std::string &id() const;
+    const CallerRequest &asked() const;
 
 private:
     /** A step's answer, held back until it is known whether the next model has to be asked. */
@@ -70,7 +83,8 @@
     EntryContext &context;
     std::shared_ptr<const CallerRequest> request;
     std::unique_ptr<CallerAnswer> answer;
-    std::function<void()> endedHook;
+    std::function<void(const RequestEnd &)> endedHook;
+    double tokens = 0;
     Timer keepAlive;
     std::vector<PrefixBlock> prefixes;
     std::vector<std::string> models;
--- a/Apricothead/src/Coordination/RoutingTable.cpp
+++ b/Apricothead/src/Coordination/RoutingTable.cpp
@@ -145,6 +145,25 @@
     return chooseEndpoint(this->slots, group.members, preferred, this->homeOf(group, request.homeKey), request, random);
 }
 
+ModelLoad RoutingTable::loadOf(const std::string &model) const
+{
+    ModelLoad load;
+    for (std::size_t slot = 0; slot < this->slots.size(); ++slot) {
+        const EndpointView &view = this->slots[slot];
+        const std::vector<ServedModel> &served = this->servedBySlot[slot];
+        const bool serves = std::any_of(served.begin(), served.end(), [&](const ServedModel &pair) {
+            return pair.model == model;
+        });
+        if (!serves || !view.healthy || !view.connected || view.leaving || view.ejected) {
+            continue;
+        }
+        load.capacity += view.capacity;
+        load.ownRunning += view.ownRunning;
+        load.allRunning += view.reportedRunning + view.reportedQueued + view.ownSinceReport;
+    }
+    return load;
+}
+
 std::size_t RoutingTable::usableCount(const std::string &model, const std::string &version) const
 {
     const auto listed = this->groups.find(versionKey(model, version));
--- a/Apricothead/src/Coordination/RoutingTable.h
+++ b/Apricothead/src/Coordination/RoutingTable.h
@@ -18,6 +18,20 @@
     bool operator==(const ServedModel &) const = default;
 };
 
+/** \class ModelLoad
+ * \ingroup Coordination_Module
+ * \brief What the endpoints of one model can take and have under way.
+ */
+struct ModelLoad {
+    unsigned capacity = 0;
+    /** Runs of this entry. */
+    unsigned ownRunning = 0;
+    /** Runs of all entries, as reported, and those that this entry has added since. */
+    unsigned allRunning = 0;
+
+    bool operator==(const ModelLoad &) const = default;
+};
+
 /** \class RoutingTable
  * \ingroup Coordination_Module
  * \brief The endpoints an entry knows, indexed by version, so that a decision copies none of them.
@@ -46,6 +60,9 @@
     /** \returns the sum of the capacities of those that are not ejected either */
     unsigned usableCapacity(const std::string &model, const std::string &version) const;
 
+    /** \returns the load of all usable endpoints that serve some version of \a model */
+    ModelLoad loadOf(const std::string &model) const;
+
     /** \returns all views, for walks over the table; removed ones have an empty id */
     const std::vector<EndpointView> &views() const;
 
--- a/Apricothead/src/Coordination/StepRun.cpp
+++ b/Apricothead/src/Coordination/StepRun.cpp
@@ -8,6 +8,8 @@
 #include "../Transport/EventLoop.h"
 #include "../Transport/Log.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -71,6 +73,7 @@
     routing.version = version.version;
     routing.promptTokens = this->request.promptTokens;
     routing.avoid = this->avoid;
+    routing.homeKey = this->homeKey();
     const RoutingDecision chosen = this->context.pool.choose(std::move(routing), this->options.prefixes, this->request.id);
     if (!chosen.endpoint.empty()) {
         this->admit(chosen);
@@ -720,6 +723,12 @@
     return this->soFar;
 }
 
+std::uint64_t StepRun::homeKey() const
+{
+    const std::string &subject = this->request.session.empty() && !this->request.messages.empty() ? this->request.messages.front() : this->request.session;
+    return subject.empty() ? 0 : XXH3_64bits(subject.data(), subject.size());
+}
+
 Wire::RequestKey StepRun::key() const
 {
     Wire::RequestKey runKey;
--- a/Apricothead/src/Coordination/StepRun.h
+++ b/Apricothead/src/Coordination/StepRun.h
@@ -122,6 +122,7 @@
     void endEvidence(RunEnd runEnd);
     void finish();
     Wire::RequestKey key() const;
+    std::uint64_t homeKey() const;
     bool isCancellable() const;
     std::uint64_t nowMs() const;
 
--- a/Apricothead/src/Protocol/Settings.h
+++ b/Apricothead/src/Protocol/Settings.h
@@ -66,6 +66,9 @@
     std::chrono::seconds idleTimeout{30};
     std::chrono::milliseconds keepAlive{5000};
     std::chrono::milliseconds requestDeadline{120000};
+    /** Longest wait for a free place at an endpoint; a request that can't start in time is refused as not run. */
+    std::chrono::milliseconds interactiveWait{5000};
+    std::chrono::milliseconds draftWait{30000};
 
     bool operator==(const EntrySettings &) const = default;
 };
--- a/Apricothead/src/Protocol/SettingsReader.cpp
+++ b/Apricothead/src/Protocol/SettingsReader.cpp
@@ -129,6 +129,8 @@
     readDuration(object, "idleTimeoutSeconds", entry.idleTimeout);
     readDuration(object, "keepAliveMs", entry.keepAlive);
     readDuration(object, "requestDeadlineMs", entry.requestDeadline);
+    readDuration(object, "interactiveWaitMs", entry.interactiveWait);
+    readDuration(object, "draftWaitMs", entry.draftWait);
     return entry;
 }
 
