--- /dev/null
+++ b/test/shutdown.cpp
@@ -0,0 +1,93 @@
+#define BOOST_TEST_MODULE shutdown
+#include "main.h"
+
+#include "support/Load.h"
+
+#include <csignal>
+
+using namespace Apricothead;
+using namespace Apricothead::Test;
+
+namespace {
+
+constexpr unsigned Tokens = 20;
+constexpr unsigned Threads = 6;
+constexpr std::chrono::milliseconds ExitBound{20000};
+
+struct Fixture {
+    Fixture() : cluster({.engineArguments = {"--token_delay_ms=10"}})
+    {
+        this->cluster.controlService({{"delayMs", 200}});
+    }
+
+    /** Ends \a name by SIGTERM in the middle of a load and checks that nothing was cut short. */
+    void endUnderLoad(const std::string &name, unsigned avoidedEntry)
+    {
+        Load load(this->cluster, {0, 1, 2}, Threads, Tokens);
+        BOOST_REQUIRE(waitUntil([&] {
+            return load.sent() >= 3 * Threads;
+        }));
+        this->cluster.process(name).signal(SIGTERM);
+        load.avoid(avoidedEntry);
+        const std::optional<int> code = this->cluster.process(name).waitExit(ExitBound);
+        BOOST_TEST(code.has_value());
+        BOOST_TEST(code.value_or(-1) == 0);
+        const std::size_t sent = load.sent();
+        BOOST_TEST(waitUntil([&] {
+            return load.sent() >= sent + 3 * Threads;
+        }));
+        const std::vector<LoadResult> results = load.stop();
+        BOOST_TEST(badAnswers(results, Tokens) == "");
+        BOOST_TEST(badRuns(this->cluster, results, Tokens) == "");
+        BOOST_TEST_MESSAGE(name << ": " << results.size() << " requests, " << wholeCount(results, Tokens) << " whole");
+        BOOST_TEST(wholeCount(results, Tokens) * 10 >= results.size() * 9);
+        const std::size_t whole = wholeCount(results, Tokens);
+        BOOST_TEST(waitUntil([&] {
+            return this->billsOf(results) == whole;
+        }));
+    }
+
+    std::size_t billsOf(const std::vector<LoadResult> &results)
+    {
+        std::size_t bills = 0;
+        for (const LoadResult &result : results) {
+            const Wire::RequestRecord record = this->cluster.administrator().record("creek", result.key);
+            bills += record.state() == Wire::RECORD_STATE_SETTLED ? 1 : 0;
+        }
+        return bills;
+    }
+
+    Cluster cluster;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(endpointProcessEndsGracefully, Fixture)
+{
+    this->endUnderLoad("endpoint-1", ~0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(entryWithReplicaEndsGracefully, Fixture)
+{
+    this->endUnderLoad("entry-1", 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(endpointProcessOfAServiceFinishesItsOrders, Fixture)
+{
+    this->cluster.controlService({{"delayMs", 1000}});
+    HttpAnswer answer;
+    std::thread caller([&] {
+        answer = this->cluster.order(0, "slow");
+    });
+    BOOST_TEST(waitUntil([&] {
+        return this->cluster.orders("slow") == 1;
+    }));
+    this->cluster.process("yard").signal(SIGTERM);
+    const HttpAnswer late = this->cluster.order(1, "late");
+    caller.join();
+    BOOST_TEST(answer.status == 201);
+    BOOST_TEST(this->cluster.process("yard").waitExit(ExitBound).value_or(-1) == 0);
+    BOOST_TEST(late.status >= 400);
+    BOOST_TEST(late.header("x-verdict") == "not-run");
+    BOOST_TEST(this->cluster.orders("late") == 0U);
+}
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -105,7 +105,8 @@
         const std::string target = this->options.relayToEngines ? this->relayTo("engine", this->engines[index]) : this->engines[index];
         this->startEndpoint("endpoint-" + std::to_string(index + 1), index, "http://" + target, true);
     }
-    this->startEndpoint("yard", 0, "http://" + this->service, false);
+    const std::string yardTarget = this->options.relayToEngines ? this->relayTo("engine", this->service) : this->service;
+    this->startEndpoint("yard", 0, "http://" + yardTarget, false);
     if (!this->waitReady()) {
         throw std::runtime_error("the cluster is not ready; logs in " + this->workFolder);
     }
@@ -297,6 +298,20 @@
     return count;
 }
 
+std::map<std::string, unsigned> Cluster::allRuns() const
+{
+    std::vector<std::string> counting = this->engines;
+    counting.push_back(this->service);
+    std::map<std::string, unsigned> sums;
+    for (const std::string &address : counting) {
+        const nlohmann::json counts = callJson("http://" + address + "/counts").json();
+        for (const auto &[name, count] : counts["runs"].items()) {
+            sums[name] += count.get<unsigned>();
+        }
+    }
+    return sums;
+}
+
 unsigned Cluster::orders(const std::string &id) const
 {
     const nlohmann::json counts = callJson("http://" + this->service + "/counts").json();
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -54,6 +54,8 @@
 
     /** Runs counted by the fake engines for \a prompt. */
     unsigned runs(const std::string &prompt) const;
+    /** Runs counted by all engines and the service, by prompt or order id. */
+    std::map<std::string, unsigned> allRuns() const;
     /** Runs counted by the plain service for order \a id. */
     unsigned orders(const std::string &id) const;
     /** The number of the engine that has \a prompt's run; -1 when none has. */
