--- a/Apricothead/src/State/AnsweredCommands.cpp
+++ b/Apricothead/src/State/AnsweredCommands.cpp
@@ -9,6 +9,9 @@
 
 std::uint64_t commandFingerprint(const Wire::Command &command)
 {
+    if (command.request_fingerprint() != 0) {
+        return command.request_fingerprint();
+    }
     const std::string bytes = joinedParts({std::to_string(command.expected_revision()), command.change().SerializeAsString()});
     return XXH3_64bits(bytes.data(), bytes.size());
 }
--- a/Apricothead/src/State/AnsweredCommands.h
+++ b/Apricothead/src/State/AnsweredCommands.h
@@ -10,7 +10,7 @@
 
 namespace Apricothead {
 
-/** \returns a hash of the change and its expected revision, without the command id */
+/** \returns a hash of what the operator asked for and its expected revision, without the command id */
 std::uint64_t commandFingerprint(const Wire::Command &command);
 
 /** \class AnsweredCommands
