Operator service, report and the client of the call command

Cause: operators had a schema and nothing that answers it. Ruled out: making a change from an entry's cached configuration (it could undo a change the expected revision brings): each change reads the configuration by a read index round first, and one that expects a later revision than the current is refused; keeping drawn keys for a resend (they are made from the operator's token and the command instead). Conclusion: whole but for two things: organisations' latency comes only from what the lead's hook knows, and the report has no cost target to compare with.

--- /dev/null
+++ b/Apricothead/src/Coordination/ConnectCodec.cpp
@@ -0,0 +1,154 @@
+#include "ConnectCodec.h"
+
+#include "../State/StateErrors.h"
+
+#include <google/protobuf/util/json_util.h>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include <array>
+
+namespace Apricothead {
+namespace detail {
+
+using Json = nlohmann::ordered_json;
+
+struct CodeRow {
+    Wire::ErrorCode code;
+    unsigned status;
+    std::string_view name;
+};
+
+constexpr std::array CodeRows{
+    CodeRow{Wire::ERROR_CODE_INVALID, 400, "invalid_argument"},
+    CodeRow{Wire::ERROR_CODE_NOT_FOUND, 404, "not_found"},
+    CodeRow{Wire::ERROR_CODE_REVISION_CONFLICT, 409, "aborted"},
+    CodeRow{Wire::ERROR_CODE_NOT_ALLOWED, 403, "permission_denied"},
+    CodeRow{Wire::ERROR_CODE_WITHDRAWN, 400, "failed_precondition"},
+    CodeRow{Wire::ERROR_CODE_KEY_REUSED, 409, "already_exists"},
+    CodeRow{Wire::ERROR_CODE_UNAVAILABLE, 503, "unavailable"},
+};
+
+CodeRow rowOf(Wire::ErrorCode code)
+{
+    for (const CodeRow &row : CodeRows) {
+        if (row.code == code) {
+            return row;
+        }
+    }
+    return {code, 500, "internal"};
+}
+
+/** Base64 without padding, as the Connect protocol asks for details. */
+std::string base64(const std::string &bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int written = EVP_EncodeBlock(
+        reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()), static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(written));
+    text.resize(text.find_last_not_of('=') + 1);
+    return text;
+}
+
+std::string sentence(const Wire::Error &error)
+{
+    std::string text = error.field().empty() ? error.message() : error.field() + " " + error.message();
+    if (!error.remedy().empty()) {
+        text += "; " + error.remedy();
+    }
+    return text;
+}
+
+Json detailOf(const Wire::Error &error)
+{
+    Json debug;
+    debug["field"] = error.field();
+    debug["message"] = error.message();
+    debug["remedy"] = error.remedy();
+    debug["currentRevision"] = error.current_revision();
+    Json item;
+    item["type"] = error.GetTypeName();
+    item["value"] = base64(error.SerializeAsString());
+    item["debug"] = std::move(debug);
+    return item;
+}
+
+std::string dumped(const Json &json)
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace detail
+
+std::optional<ConnectEncoding> connectEncoding(std::string_view contentType)
+{
+    const std::string_view kind = contentType.substr(0, contentType.find(';'));
+    if (kind == "application/json") {
+        return ConnectEncoding::Json;
+    }
+    if (kind == "application/proto") {
+        return ConnectEncoding::Binary;
+    }
+    return std::nullopt;
+}
+
+std::string_view contentTypeOf(ConnectEncoding encoding)
+{
+    return encoding == ConnectEncoding::Json ? "application/json" : "application/proto";
+}
+
+outcome::unchecked<void, Wire::Error> readMessage(ConnectEncoding encoding, const std::string &body, google::protobuf::Message &message)
+{
+    if (encoding == ConnectEncoding::Binary) {
+        if (message.ParseFromString(body)) {
+            return outcome::success();
+        }
+        return makeError(Wire::ERROR_CODE_INVALID, "", "the body is no " + message.GetTypeName(), "send the message as the schema says");
+    }
+    // Also refuses text that is no UTF-8, which must not get into messages.
+    if (!body.empty() && !nlohmann::json::accept(body)) {
+        return makeError(Wire::ERROR_CODE_INVALID, "", "the body is no valid JSON in UTF-8", "correct the JSON");
+    }
+    google::protobuf::util::JsonParseOptions options;
+    options.ignore_unknown_fields = false;
+    const auto status = google::protobuf::util::JsonStringToMessage(body.empty() ? "{}" : body, &message, options);
+    if (status.ok()) {
+        return outcome::success();
+    }
+    return makeError(
+        Wire::ERROR_CODE_INVALID, "", "the body is no JSON of " + message.GetTypeName() + ": " + std::string(status.message()), "correct the JSON");
+}
+
+std::string writeMessage(ConnectEncoding encoding, const google::protobuf::Message &message)
+{
+    if (encoding == ConnectEncoding::Binary) {
+        return message.SerializeAsString();
+    }
+    google::protobuf::util::JsonPrintOptions options;
+    options.always_print_primitive_fields = true;
+    std::string text;
+    if (!google::protobuf::util::MessageToJsonString(message, &text, options).ok()) {
+        return "{}";
+    }
+    return text;
+}
+
+ConnectError connectError(const Wire::Error &error)
+{
+    const detail::CodeRow row = detail::rowOf(error.code());
+    detail::Json body;
+    body["code"] = row.name;
+    body["message"] = detail::sentence(error);
+    body["details"] = detail::Json::array({detail::detailOf(error)});
+    return {.status = row.status, .body = detail::dumped(body)};
+}
+
+ConnectError connectError(unsigned status, std::string_view code, std::string_view message)
+{
+    detail::Json body;
+    body["code"] = code;
+    body["message"] = message;
+    return {.status = status, .body = detail::dumped(body)};
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/OperatorAccess.cpp
@@ -0,0 +1,24 @@
+#include "OperatorAccess.h"
+
+#include "../Protocol/KeyHash.h"
+
+namespace Apricothead {
+
+std::optional<OperatorIdentity> identifyOperator(const std::vector<OperatorToken> &tokens, std::string_view authorization)
+{
+    const std::string_view token = bearerToken(authorization);
+    if (token.empty()) {
+        return std::nullopt;
+    }
+    const std::string hash = sha256Hex(token);
+    std::optional<OperatorIdentity> found;
+    // Every hash is compared, so that the time tells nothing of the place of a match.
+    for (const OperatorToken &known : tokens) {
+        if (equalInConstantTime(known.sha256, hash)) {
+            found = OperatorIdentity{.name = known.name, .readOnly = known.readOnly, .token = std::string(token)};
+        }
+    }
+    return found;
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/OperatorBackend.cpp
@@ -0,0 +1,47 @@
+#include "OperatorBackend.h"
+
+#include <chrono>
+#include <utility>
+
+namespace Apricothead {
+namespace detail {
+
+/** An operator waits longer than a caller would. */
+constexpr std::chrono::milliseconds OperatorPatience{8000};
+/** A replica needs time to catch up before it may replace another. */
+constexpr std::chrono::milliseconds ReplacementPatience{60000};
+
+std::int64_t wallClockNowMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+} // namespace detail
+
+OperatorBackend operatorBackend(ReplicaClient &client)
+{
+    OperatorBackend backend;
+    backend.propose = [&client](Wire::Command command, std::function<void(const ProposeOutcome &)> done) {
+        client.propose(std::move(command), detail::OperatorPatience, std::move(done));
+    };
+    backend.query = [&client](Wire::Query query, std::function<void(const Wire::QueryReply &)> done) {
+        client.query(std::move(query), detail::OperatorPatience, std::move(done));
+    };
+    backend.changeMembers = [&client](Wire::ChangeMembers change, std::function<void(const Wire::ChangeMembersReply &)> done) {
+        client.changeMembers(std::move(change), detail::ReplacementPatience, std::move(done));
+    };
+    backend.endpoints = [&client] {
+        return client.endpoints();
+    };
+    backend.metrics = [] {
+        return std::string();
+    };
+    backend.figures = [] {
+        return std::vector<OrganisationFigures>();
+    };
+    backend.nowMs = detail::wallClockNowMs;
+    return backend;
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/OperatorCall.cpp
@@ -0,0 +1,156 @@
+#include "OperatorCall.h"
+
+#include "../Protocol/KeyHash.h"
+#include "../Protocol/Messages.h"
+#include "../Transport/EventLoop.h"
+
+#include "apricothead/v1/operator.pb.h"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace Apricothead {
+namespace detail {
+
+using Json = nlohmann::ordered_json;
+
+constexpr unsigned CommandIdBytes = 12;
+constexpr unsigned HttpOk = 200;
+constexpr unsigned HttpUnavailable = 503;
+
+/** \returns the request type of \a method, or nullptr */
+const google::protobuf::Descriptor *requestType(const std::string &method)
+{
+    const auto *file = Wire::ChangeResponse::descriptor()->file();
+    const auto *found = file->FindServiceByName("Operator")->FindMethodByName(method);
+    return found == nullptr ? nullptr : found->input_type();
+}
+
+/** \returns what is wrong with an answer, in words: the message of a Connect error, or the body */
+std::string errorText(unsigned status, const std::string &body)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    if (json.is_object() && json.contains("message") && json["message"].is_string()) {
+        return json["message"].get<std::string>();
+    }
+    return "HTTP status " + std::to_string(status) + ": " + body;
+}
+
+} // namespace detail
+
+struct OperatorCall::Private {
+    Private(EventLoop &eventLoop, HttpClient &httpClient, OperatorCallOptions given, std::function<void(const OperatorCallResult &)> hook);
+
+    /** \returns what is wrong with the options, or nothing */
+    std::optional<std::string> prepare();
+    void begin();
+    void tryOnce();
+    void ended(const HttpResult &result);
+    void finish(bool succeeded, std::string text);
+
+    EventLoop &loop;
+    HttpClient &client;
+    OperatorCallOptions options;
+    std::function<void(const OperatorCallResult &)> done;
+    Timer timer;
+    std::unique_ptr<HttpCall> call;
+    OperatorCallResult result;
+    std::string body;
+    std::string received;
+    std::uint64_t endMs = 0;
+};
+
+OperatorCall::Private::Private(EventLoop &eventLoop, HttpClient &httpClient, OperatorCallOptions given, std::function<void(const OperatorCallResult &)> hook)
+    : loop(eventLoop), client(httpClient), options(std::move(given)), done(std::move(hook)), timer(eventLoop, [this] {
+        this->body.empty() ? this->begin() : this->tryOnce();
+    })
+{ }
+
+std::optional<std::string> OperatorCall::Private::prepare()
+{
+    const auto *type = detail::requestType(this->options.method);
+    if (type == nullptr) {
+        return "no method " + this->options.method + "; docs/operations/operator-calls.md lists them";
+    }
+    detail::Json json = detail::Json::parse(this->options.json.empty() ? "{}" : this->options.json, nullptr, false);
+    if (!json.is_object()) {
+        return "the request is no JSON object";
+    }
+    if (type->FindFieldByName("command_id") != nullptr) {
+        const char *name = json.contains("command_id") ? "command_id" : "commandId";
+        if (!json.contains(name)) {
+            json[name] = this->options.commandId.empty() ? "call-" + randomHex(detail::CommandIdBytes) : this->options.commandId;
+        }
+        this->result.commandId = json[name].is_string() ? json[name].get<std::string>() : std::string();
+    }
+    this->body = json.dump(-1, ' ', false, detail::Json::error_handler_t::replace);
+    return std::nullopt;
+}
+
+void OperatorCall::Private::begin()
+{
+    const std::optional<std::string> fault = this->prepare();
+    if (fault) {
+        this->finish(false, *fault);
+        return;
+    }
+    this->endMs = this->loop.nowMs() + static_cast<std::uint64_t>(this->options.patience.count());
+    this->tryOnce();
+}
+
+void OperatorCall::Private::tryOnce()
+{
+    ++this->result.tries;
+    this->received.clear();
+    HttpCallOptions http;
+    http.method = "POST";
+    http.url = "http://" + this->options.address + "/apricothead.v1.Operator/" + this->options.method;
+    http.headers = {{"content-type", "application/json"}, {"authorization", "Bearer " + this->options.token}};
+    http.body = this->body;
+    http.total = this->options.tryTimeout;
+    http.onData = [this](std::string_view bytes) {
+        this->received += bytes;
+    };
+    http.onDone = [this](const HttpResult &ending) {
+        this->ended(ending);
+    };
+    this->call = this->client.start(std::move(http));
+}
+
+void OperatorCall::Private::ended(const HttpResult &http)
+{
+    if (http.whole && http.status == detail::HttpOk) {
+        this->finish(true, this->received);
+        return;
+    }
+    // Only a lost answer or an unavailable system may look different on a further try, and the command id makes that safe.
+    const bool mayRetry = !http.whole || http.status == detail::HttpUnavailable;
+    if (mayRetry && this->loop.nowMs() + static_cast<std::uint64_t>(this->options.pause.count()) < this->endMs) {
+        this->timer.startOnce(this->options.pause);
+        return;
+    }
+    this->finish(false, http.whole ? detail::errorText(http.status, this->received) : "no answer: " + http.error);
+}
+
+void OperatorCall::Private::finish(bool succeeded, std::string text)
+{
+    this->result.succeeded = succeeded;
+    this->result.text = std::move(text);
+    // The hook may drop this call.
+    const auto hook = this->done;
+    const OperatorCallResult ended = this->result;
+    hook(ended);
+}
+
+OperatorCall::OperatorCall(EventLoop &loop, HttpClient &client, OperatorCallOptions options, std::function<void(const OperatorCallResult &)> done)
+    : d(std::make_unique<Private>(loop, client, std::move(options), std::move(done)))
+{
+    // The result never comes before the constructor has returned.
+    this->d->timer.startOnce(std::chrono::milliseconds(0));
+}
+
+OperatorCall::~OperatorCall() = default;
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/OperatorChangeCall.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "OperatorChanges.h"
+#include "OperatorMethods.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Apricothead {
+
+/** \class OperatorChangeCall
+ * \ingroup Coordination_Module
+ * \brief A change that an operator asks for, on its way through the log.
+ */
+struct OperatorChangeCall {
+    std::string operatorName;
+    std::string commandId;
+    std::optional<std::uint64_t> expectedRevision;
+    /** Hash of what the operator sent, so that a resend is known. */
+    std::uint64_t fingerprint = 0;
+    /** Makes the change from the configuration it is based on. */
+    std::function<ChangeResult(const Wire::Configuration &)> build;
+    /** Gets the new revision, or the error. */
+    std::function<void(const outcome::unchecked<std::uint64_t, Wire::Error> &)> done;
+};
+
+/** Reads the current configuration, makes the change from it and proposes it. */
+void callChange(const std::shared_ptr<OperatorBackend> &backend, OperatorChangeCall call);
+
+/** \returns a hash of a request and its method; never 0 */
+std::uint64_t requestFingerprint(std::string_view method, const google::protobuf::Message &request);
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/OperatorMethods.cpp
@@ -0,0 +1,350 @@
+#include "OperatorMethods.h"
+
+#include "../Protocol/KeyHash.h"
+#include "../State/ConfigurationLookup.h"
+#include "../State/Ledger.h"
+#include "OperatorChangeCall.h"
+#include "Report.h"
+
+#include <openssl/hmac.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Apricothead {
+namespace detail {
+
+using Backend = std::shared_ptr<OperatorBackend>;
+
+/** Reads the request and hands it to \a run, or answers with what is wrong with it. */
+template <class Request, class Run>
+OperatorMethod method(std::string_view name, bool needsFullRole, Run run)
+{
+    return {.name = name, .needsFullRole = needsFullRole, .run = [run](const Backend &backend, const OperatorRequest &call, const OperatorAnswer &answer) {
+                Request request;
+                const auto read = readMessage(call.encoding, call.body, request);
+                if (read.has_error()) {
+                    answer(connectError(read.error()));
+                    return;
+                }
+                run(backend, call, request, answer);
+            }};
+}
+
+/** \returns a call whose outcome is written as \a Response, after \a fill completed it */
+template <class Request>
+OperatorChangeCall changeCall(std::string_view name, const OperatorRequest &call, const Request &request)
+{
+    OperatorChangeCall change;
+    change.operatorName = call.identity.name;
+    change.commandId = request.command_id();
+    if (request.has_expected_revision()) {
+        change.expectedRevision = request.expected_revision();
+    }
+    change.fingerprint = requestFingerprint(name, request);
+    return change;
+}
+
+/** A method whose change is made by changeOf(). */
+template <class Request>
+OperatorMethod change(std::string_view name)
+{
+    return method<Request>(name, true, [name](const Backend &backend, const OperatorRequest &call, const Request &request, const OperatorAnswer &answer) {
+        OperatorChangeCall change = changeCall(name, call, request);
+        change.build = [request](const Wire::Configuration &configuration) {
+            return changeOf(request, configuration);
+        };
+        change.done = [answer, encoding = call.encoding](const outcome::unchecked<std::uint64_t, Wire::Error> &outcome) {
+            if (outcome.has_error()) {
+                answer(connectError(outcome.error()));
+                return;
+            }
+            Wire::ChangeResponse response;
+            response.set_revision(outcome.value());
+            answer(writeMessage(encoding, response));
+        };
+        callChange(backend, std::move(change));
+    });
+}
+
+/** Drawn from the operator's token and the command, so that a resend shows the same key and no entry has to keep it. */
+std::string drawnKey(const OperatorRequest &call, const Wire::CreateKeyRequest &request)
+{
+    const std::string text = "apricothead create-key " + request.SerializeAsString();
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned size = 0;
+    HMAC(EVP_sha256(),
+         call.identity.token.data(),
+         static_cast<int>(call.identity.token.size()),
+         reinterpret_cast<const unsigned char *>(text.data()),
+         text.size(),
+         digest.data(),
+         &size);
+    return "ak-" + sha256Hex({reinterpret_cast<const char *>(digest.data()), size});
+}
+
+void createKey(const Backend &backend, const OperatorRequest &call, const Wire::CreateKeyRequest &request, const OperatorAnswer &answer)
+{
+    const std::string key = drawnKey(call, request);
+    const std::string hash = sha256Hex(key);
+    OperatorChangeCall change = changeCall("CreateKey", call, request);
+    change.build = [request, hash](const Wire::Configuration &configuration) {
+        return addKey(request.organisation(), hash, configuration);
+    };
+    change.done = [answer, key, hash, encoding = call.encoding](const outcome::unchecked<std::uint64_t, Wire::Error> &outcome) {
+        if (outcome.has_error()) {
+            answer(connectError(outcome.error()));
+            return;
+        }
+        Wire::CreateKeyResponse response;
+        response.set_revision(outcome.value());
+        response.set_key(key);
+        response.set_key_hash(hash);
+        answer(writeMessage(encoding, response));
+    };
+    callChange(backend, std::move(change));
+}
+
+/** Asks the replicas and writes the reply as \a fill makes it. */
+template <class Response, class Fill>
+void answerQuery(const Backend &backend, const OperatorRequest &call, const Wire::Query &query, const OperatorAnswer &answer, Fill fill)
+{
+    backend->query(query, [answer, fill, encoding = call.encoding](const Wire::QueryReply &reply) {
+        if (reply.has_error()) {
+            answer(connectError(reply.error()));
+            return;
+        }
+        Response response;
+        fill(reply, response);
+        answer(writeMessage(encoding, response));
+    });
+}
+
+Wire::Query configurationQuery()
+{
+    Wire::Query query;
+    query.set_configuration(true);
+    return query;
+}
+
+Wire::Query statusQuery()
+{
+    Wire::Query query;
+    query.mutable_status();
+    return query;
+}
+
+Wire::Query ledgerQuery(const std::string &organisation, const std::string &day)
+{
+    Wire::Query query;
+    query.mutable_ledger()->set_organisation(organisation);
+    query.mutable_ledger()->set_day(day);
+    return query;
+}
+
+void getConfiguration(const Backend &backend, const OperatorRequest &call, const Wire::GetConfigurationRequest & /*request*/, const OperatorAnswer &answer)
+{
+    answerQuery<Wire::GetConfigurationResponse>(backend, call, configurationQuery(), answer, [](const Wire::QueryReply &reply, auto &response) {
+        *response.mutable_configuration() = reply.configuration();
+    });
+}
+
+void fillRevision(const Wire::ClusterStatus &status, Wire::GetRevisionResponse &response)
+{
+    response.set_revision(status.revision());
+    response.set_in_force_after_ms(status.in_force_after_ms());
+    for (const Wire::ProcessStatus &process : status.processes()) {
+        const bool isInForce = process.revision() >= status.revision();
+        (isInForce ? response.add_in_force_on() : response.add_behind_on())->assign(process.process());
+    }
+    response.set_in_force_everywhere(response.behind_on().empty());
+}
+
+void getRevision(const Backend &backend, const OperatorRequest &call, const Wire::GetRevisionRequest & /*request*/, const OperatorAnswer &answer)
+{
+    answerQuery<Wire::GetRevisionResponse>(backend, call, statusQuery(), answer, [](const Wire::QueryReply &reply, auto &response) {
+        fillRevision(reply.status(), response);
+    });
+}
+
+void getStatus(const Backend &backend, const OperatorRequest &call, const Wire::GetStatusRequest & /*request*/, const OperatorAnswer &answer)
+{
+    answerQuery<Wire::GetStatusResponse>(backend, call, statusQuery(), answer, [](const Wire::QueryReply &reply, auto &response) {
+        *response.mutable_status() = reply.status();
+    });
+}
+
+void fillEndpoints(const std::vector<Wire::EndpointStatus> &endpoints, const Wire::Configuration &configuration, Wire::ListEndpointsResponse &response)
+{
+    for (const Wire::EndpointStatus &endpoint : endpoints) {
+        Wire::ListedEndpoint *listed = response.add_endpoints();
+        *listed->mutable_endpoint() = endpoint;
+        listed->set_drained(isDrained(configuration, endpoint.endpoint()));
+    }
+    for (const std::string &drained : configuration.drained_endpoints()) {
+        const bool isAnnounced = std::any_of(endpoints.begin(), endpoints.end(), [&](const Wire::EndpointStatus &endpoint) {
+            return endpoint.endpoint() == drained;
+        });
+        if (!isAnnounced) {
+            response.add_drained_and_absent(drained);
+        }
+    }
+}
+
+void listEndpoints(const Backend &backend, const OperatorRequest &call, const Wire::ListEndpointsRequest & /*request*/, const OperatorAnswer &answer)
+{
+    answerQuery<Wire::ListEndpointsResponse>(backend, call, configurationQuery(), answer, [backend](const Wire::QueryReply &reply, auto &response) {
+        fillEndpoints(backend->endpoints(), reply.configuration(), response);
+    });
+}
+
+void getLedger(const Backend &backend, const OperatorRequest &call, const Wire::GetLedgerRequest &request, const OperatorAnswer &answer)
+{
+    const Wire::Query query = ledgerQuery(request.organisation(), request.day());
+    answerQuery<Wire::GetLedgerResponse>(backend, call, query, answer, [](const Wire::QueryReply &reply, auto &response) {
+        *response.mutable_days() = reply.ledger();
+    });
+}
+
+void getReport(const Backend &backend, const OperatorRequest &call, const Wire::GetReportRequest & /*request*/, const OperatorAnswer &answer)
+{
+    makeReport(backend, [answer, encoding = call.encoding](const std::string &text) {
+        Wire::GetReportResponse response;
+        response.set_text(text);
+        answer(writeMessage(encoding, response));
+    });
+}
+
+void getMetrics(const Backend &backend, const OperatorRequest &call, const Wire::GetMetricsRequest & /*request*/, const OperatorAnswer &answer)
+{
+    Wire::GetMetricsResponse response;
+    response.set_text(backend->metrics());
+    answer(writeMessage(call.encoding, response));
+}
+
+void replaceReplica(const Backend &backend, const OperatorRequest &call, const Wire::ReplaceReplicaRequest &request, const OperatorAnswer &answer)
+{
+    if (request.remove().empty() && request.add_address().empty()) {
+        answer(connectError(
+            makeError(Wire::ERROR_CODE_INVALID, "remove", "and add_address are missing", "name the replica to remove, the address to add, or both")));
+        return;
+    }
+    Wire::ChangeMembers change;
+    change.set_remove(request.remove());
+    change.set_add_address(request.add_address());
+    backend->changeMembers(std::move(change), [answer, encoding = call.encoding](const Wire::ChangeMembersReply &reply) {
+        if (reply.has_error()) {
+            answer(connectError(reply.error()));
+            return;
+        }
+        Wire::ReplaceReplicaResponse response;
+        response.set_done(reply.done());
+        answer(writeMessage(encoding, response));
+    });
+}
+
+const std::vector<OperatorMethod> &operatorMethods()
+{
+    constexpr bool ReadOnly = false;
+    constexpr bool FullRole = true;
+    static const std::vector<OperatorMethod> Methods{
+        method<Wire::GetConfigurationRequest>("GetConfiguration", ReadOnly, getConfiguration),
+        method<Wire::GetRevisionRequest>("GetRevision", ReadOnly, getRevision),
+        method<Wire::GetStatusRequest>("GetStatus", ReadOnly, getStatus),
+        method<Wire::ListEndpointsRequest>("ListEndpoints", ReadOnly, listEndpoints),
+        method<Wire::GetLedgerRequest>("GetLedger", ReadOnly, getLedger),
+        method<Wire::GetReportRequest>("GetReport", ReadOnly, getReport),
+        method<Wire::GetMetricsRequest>("GetMetrics", ReadOnly, getMetrics),
+        change<Wire::PutOrganisationRequest>("PutOrganisation"),
+        change<Wire::RemoveOrganisationRequest>("RemoveOrganisation"),
+        method<Wire::CreateKeyRequest>("CreateKey", FullRole, createKey),
+        change<Wire::RemoveKeyRequest>("RemoveKey"),
+        change<Wire::PutAllowanceRequest>("PutAllowance"),
+        change<Wire::RemoveAllowanceRequest>("RemoveAllowance"),
+        change<Wire::SetLimitsRequest>("SetLimits"),
+        change<Wire::PutModelRequest>("PutModel"),
+        change<Wire::PutVersionRequest>("PutVersion"),
+        change<Wire::WithdrawVersionRequest>("WithdrawVersion"),
+        change<Wire::PutCascadeRequest>("PutCascade"),
+        change<Wire::RemoveCascadeRequest>("RemoveCascade"),
+        change<Wire::StartRolloutRequest>("StartRollout"),
+        change<Wire::PauseRolloutRequest>("PauseRollout"),
+        change<Wire::ResumeRolloutRequest>("ResumeRollout"),
+        change<Wire::HaltRolloutRequest>("HaltRollout"),
+        change<Wire::FinishRolloutRequest>("FinishRollout"),
+        change<Wire::DrainEndpointRequest>("DrainEndpoint"),
+        change<Wire::UndrainEndpointRequest>("UndrainEndpoint"),
+        method<Wire::ReplaceReplicaRequest>("ReplaceReplica", FullRole, replaceReplica),
+    };
+    return Methods;
+}
+
+/** Asks for status, configuration and today's ledger, one after the other. */
+class ReportCall : public std::enable_shared_from_this<ReportCall>
+{
+public:
+    ReportCall(Backend source, std::function<void(const std::string &)> hook) : backend(std::move(source)), done(std::move(hook))
+    { }
+
+    void start()
+    {
+        this->view.nowMs = this->backend->nowMs();
+        this->view.figures = this->backend->figures();
+        this->ask(statusQuery(), [this](const Wire::QueryReply &reply) {
+            this->view.status = reply.status();
+            this->askConfiguration();
+        });
+    }
+
+private:
+    void askConfiguration()
+    {
+        this->ask(configurationQuery(), [this](const Wire::QueryReply &reply) {
+            this->view.configuration = reply.configuration();
+            this->askLedger();
+        });
+    }
+
+    void askLedger()
+    {
+        this->ask(ledgerQuery("", utcDay(this->view.nowMs)), [this](const Wire::QueryReply &reply) {
+            this->view.ledger.assign(reply.ledger().begin(), reply.ledger().end());
+            this->done(renderReport(this->view));
+        });
+    }
+
+    void ask(Wire::Query query, std::function<void(const Wire::QueryReply &)> next)
+    {
+        this->backend->query(std::move(query), [self = this->shared_from_this(), next = std::move(next)](const Wire::QueryReply &reply) {
+            if (!reply.has_error()) {
+                next(reply);
+                return;
+            }
+            self->view.unreachable = reply.error().message();
+            self->done(renderReport(self->view));
+        });
+    }
+
+    Backend backend;
+    std::function<void(const std::string &)> done;
+    ReportView view;
+};
+
+} // namespace detail
+
+const OperatorMethod *findOperatorMethod(std::string_view name)
+{
+    const std::vector<OperatorMethod> &methods = detail::operatorMethods();
+    const auto found = std::find_if(methods.begin(), methods.end(), [&](const OperatorMethod &method) {
+        return method.name == name;
+    });
+    return found == methods.end() ? nullptr : &*found;
+}
+
+void makeReport(const std::shared_ptr<OperatorBackend> &backend, const std::function<void(const std::string &)> &done)
+{
+    std::make_shared<detail::ReportCall>(backend, done)->start();
+}
+
+} // namespace Apricothead
--- a/Apricothead/src/State/ConfigurationEdits.cpp
+++ b/Apricothead/src/State/ConfigurationEdits.cpp
@@ -111,8 +111,45 @@
     drained->erase(std::remove(drained->begin(), drained->end(), endpoint), drained->end());
 }
 
+std::string subjectOf(const Wire::ConfigurationChange &change)
+{
+    switch (change.change_case()) {
+    case Wire::ConfigurationChange::kPutOrganisation:
+        return change.put_organisation().id();
+    case Wire::ConfigurationChange::kRemoveOrganisation:
+        return change.remove_organisation();
+    case Wire::ConfigurationChange::kPutModel:
+        return change.put_model().id();
+    case Wire::ConfigurationChange::kPutVersion:
+        return change.put_version().id();
+    case Wire::ConfigurationChange::kWithdrawVersion:
+        return change.withdraw_version().version();
+    case Wire::ConfigurationChange::kPutCascade:
+        return change.put_cascade().id();
+    case Wire::ConfigurationChange::kRemoveCascade:
+        return change.remove_cascade();
+    case Wire::ConfigurationChange::kStartRollout:
+        return change.start_rollout().to_version();
+    case Wire::ConfigurationChange::kSetRollout:
+        return change.set_rollout().model();
+    case Wire::ConfigurationChange::kDrainEndpoint:
+        return change.drain_endpoint();
+    case Wire::ConfigurationChange::kUndrainEndpoint:
+        return change.undrain_endpoint();
+    case Wire::ConfigurationChange::CHANGE_NOT_SET:
+        break;
+    }
+    return {};
+}
+
 } // namespace detail
 
+std::string changeSummary(const Wire::ConfigurationChange &change)
+{
+    const auto *field = Wire::ConfigurationChange::descriptor()->FindFieldByNumber(change.change_case());
+    return field == nullptr ? std::string() : field->name() + " " + detail::subjectOf(change);
+}
+
 void editConfiguration(Wire::Configuration &configuration, const Wire::ConfigurationChange &change)
 {
     switch (change.change_case()) {
--- a/Apricothead/src/State/ConfigurationState.cpp
+++ b/Apricothead/src/State/ConfigurationState.cpp
@@ -7,8 +7,10 @@
 
 namespace Apricothead {
 
-Wire::CommandResult ConfigurationState::apply(const Wire::ConfigurationChange &change, std::uint64_t expectedRevision, std::int64_t timeMs)
+Wire::CommandResult ConfigurationState::apply(const Wire::Command &command, std::int64_t timeMs)
 {
+    const Wire::ConfigurationChange &change = command.change();
+    const std::uint64_t expectedRevision = command.expected_revision();
     if (expectedRevision != this->configuration.revision()) {
         return this->conflict(expectedRevision);
     }
@@ -20,6 +22,7 @@
     }
     this->configuration.set_revision(this->configuration.revision() + 1);
     this->configuration.set_changed_at_ms(timeMs);
+    this->configuration.set_last_change(changeSummary(change) + (command.actor().empty() ? "" : " by " + command.actor()));
     editConfiguration(this->configuration, change);
     Wire::CommandResult result;
     result.set_revision(this->configuration.revision());
--- a/Apricothead/src/State/ConfigurationState.h
+++ b/Apricothead/src/State/ConfigurationState.h
@@ -13,8 +13,8 @@
 class ConfigurationState
 {
 public:
-    /** Applies \a change when it is based on the current revision and passes its checks. \returns the new revision or an error */
-    Wire::CommandResult apply(const Wire::ConfigurationChange &change, std::uint64_t expectedRevision, std::int64_t timeMs);
+    /** Applies the change of \a command when it is based on the current revision and passes its checks. \returns the new revision or an error */
+    Wire::CommandResult apply(const Wire::Command &command, std::int64_t timeMs);
 
     const Wire::Configuration &value() const;
     void restore(Wire::Configuration configuration);
--- a/Apricothead/src/State/StateMachine.cpp
+++ b/Apricothead/src/State/StateMachine.cpp
@@ -302,7 +302,7 @@
     if (std::optional<Wire::CommandResult> answer = this->answered.answerTo(command)) {
         return *std::move(answer);
     }
-    Wire::CommandResult result = this->configuration.apply(command.change(), command.expected_revision(), this->timeMs);
+    Wire::CommandResult result = this->configuration.apply(command, this->timeMs);
     result.set_index(this->appliedIndex);
     this->answered.remember(command, result, this->timeMs);
     return result;
