Operators' service runs beside the entry; call and report commands

Ruled out: a thread of its own (it would need a second link to the replicas and a lock on the metrics). Change: EntryTask starts OperatorService; figures by organisation from Metrics; app/OperatorCommands.cpp. Before: no way to configure the system but test code.

--- a/Apricothead/src/Coordination/EntryTask.cpp
+++ b/Apricothead/src/Coordination/EntryTask.cpp
@@ -3,6 +3,7 @@
 #include "AdmissionControl.h"
 #include "CallerApi.h"
 #include "EntryContext.h"
+#include "OperatorService.h"
 #include "Rater.h"
 #include "RequestRun.h"
 #include "RunErrors.h"
@@ -210,10 +211,46 @@
             return HttpHeaders{{"X-Request-Id", randomHex(DrawnIdBytes)}, {"X-Verdict", "not-run"}};
         };
         this->server = std::make_unique<HttpServer>(this->loop, std::move(options));
+        this->operators = OperatorService::start(this->loop, entry, this->operatorBackendOfEntry());
         this->tick.startRepeating(TickInterval);
         logLine(LogLevel::Info, "entry-started", {{"callers", this->server->boundAddress()}});
     }
 
+    OperatorBackend operatorBackendOfEntry()
+    {
+        OperatorBackend backend = operatorBackend(this->replicas);
+        backend.metrics = [this] {
+            return metricsPage(this->metrics.read());
+        };
+        backend.figures = [this] {
+            return this->figures();
+        };
+        return backend;
+    }
+
+    /** \returns what this entry measured by organisation */
+    std::vector<OrganisationFigures> figures() const
+    {
+        std::map<std::string, OrganisationFigures> byOrganisation;
+        for (const MetricLine &line : this->metrics.read()) {
+            OrganisationFigures &organisation = byOrganisation[line.label];
+            organisation.organisation = line.label;
+            if (line.name == "organisation_first_chunk_ms" && line.statistic == "p95") {
+                organisation.firstTokenP95Ms = line.value;
+            }
+            if (line.name == "organisation_cost_micros" && line.statistic == "mean") {
+                organisation.costMicrosPerRequest = line.value;
+            }
+        }
+        std::vector<OrganisationFigures> listed;
+        for (const auto &[name, organisation] : byOrganisation) {
+            if (organisation.firstTokenP95Ms > 0 || organisation.costMicrosPerRequest > 0) {
+                listed.push_back(organisation);
+            }
+        }
+        return listed;
+    }
+
     void run(CallerRequest request, std::unique_ptr<CallerAnswer> answer)
     {
         const std::uint64_t number = this->nextRequest++;
@@ -308,6 +345,9 @@
         logLine(LogLevel::Info, "entry-stopped");
         this->shutdown.stop();
         this->tick.stop();
+        if (this->operators) {
+            this->operators->stopListening();
+        }
         this->loop.post(std::exchange(this->stopped, {}));
     }
 
@@ -349,6 +389,7 @@
     std::uint64_t nextRequest = 0;
     std::uint64_t decidedMs = 0;
     std::unique_ptr<HttpServer> server;
+    std::unique_ptr<OperatorService> operators;
     std::function<void()> stopped;
     bool isCutting = false;
 };
--- a/Apricothead/src/Coordination/RequestRun.cpp
+++ b/Apricothead/src/Coordination/RequestRun.cpp
@@ -5,6 +5,7 @@
 
 #include "../Protocol/ChatAssembler.h"
 #include "../State/ConfigurationLookup.h"
+#include "../State/Ledger.h"
 #include "../Transport/EventLoop.h"
 #include "../Transport/Log.h"
 
@@ -164,7 +165,9 @@
 {
     if (this->firstByteMs == 0) {
         this->firstByteMs = this->context.loop.nowMs();
-        this->context.metrics.observe("first_chunk_ms", this->head.version, static_cast<double>(this->firstByteMs - this->startedMs));
+        const auto tookMs = static_cast<double>(this->firstByteMs - this->startedMs);
+        this->context.metrics.observe("first_chunk_ms", this->head.version, tookMs);
+        this->context.metrics.observe("organisation_first_chunk_ms", this->request->organisation, tookMs);
     }
     if (this->isErrorAnswer()) {
         this->errorBody.append(data.substr(0, ErrorBodyLimit - std::min(ErrorBodyLimit, this->errorBody.size())));
@@ -182,6 +185,10 @@
 void RequestRun::takeEnd(const StepEnd &stepEnd)
 {
     this->tokens += static_cast<double>(stepEnd.usage.input_tokens() + stepEnd.usage.output_tokens());
+    const Wire::Version *version = findVersion(this->context.configuration(), stepEnd.version);
+    if (stepEnd.isWhole && version != nullptr) {
+        this->cost += static_cast<double>(costMicros(*version, stepEnd.usage, Wire::OUTCOME_WHOLE));
+    }
     if (this->isLastStep()) {
         this->endDirect(stepEnd);
     } else {
@@ -391,6 +398,9 @@
              {"firstByteMs", this->firstByteMs == 0 ? std::uint64_t{0} : this->firstByteMs - this->startedMs},
              {"tookMs", now - this->startedMs}});
     this->context.metrics.count("requests", verdictName(verdict));
+    if (this->cost > 0) {
+        this->context.metrics.observe("organisation_cost_micros", this->request->organisation, this->cost);
+    }
     this->endedHook({.tokens = this->tokens, .mayHaveRun = verdict != Verdict::NotRun});
 }
 
--- a/Apricothead/src/Coordination/RequestRun.h
+++ b/Apricothead/src/Coordination/RequestRun.h
@@ -85,6 +85,8 @@
     std::unique_ptr<CallerAnswer> answer;
     std::function<void(const RequestEnd &)> endedHook;
     double tokens = 0;
+    /** In millionths, by the prices that this entry knows. */
+    double cost = 0;
     Timer keepAlive;
     std::vector<PrefixBlock> prefixes;
     std::vector<std::string> models;
--- a/app/Commands.h
+++ b/app/Commands.h
@@ -32,6 +32,8 @@
 int check(const CommandLine &line);
 int init(const CommandLine &line);
 int recover(const CommandLine &line);
+int call(const CommandLine &line);
+int report(const CommandLine &line);
 int version(const CommandLine &line);
 
 } // namespace Apricothead
--- /dev/null
+++ b/app/OperatorCommands.cpp
@@ -0,0 +1,70 @@
+#include "Commands.h"
+
+#include <Apricothead/Coordination>
+#include <Apricothead/Transport>
+
+#include <iostream>
+#include <optional>
+
+#include <nlohmann/json.hpp>
+
+namespace Apricothead {
+namespace {
+
+/** Runs one call to its end. */
+OperatorCallResult runCall(OperatorCallOptions options)
+{
+    EventLoop loop;
+    HttpClient client(loop);
+    OperatorCallResult result;
+    const OperatorCall operatorCall(loop, client, std::move(options), [&](const OperatorCallResult &ended) {
+        result = ended;
+        loop.stop();
+    });
+    loop.run();
+    return result;
+}
+
+int failed(const OperatorCallResult &result)
+{
+    std::cerr << "apricothead: " << result.text << '\n';
+    if (!result.commandId.empty()) {
+        std::cerr << "try again with the same id: --command_id=" << result.commandId << '\n';
+    }
+    return ExitFailure;
+}
+
+} // namespace
+
+int call(const CommandLine &line)
+{
+    if (line.words.empty()) {
+        std::cerr << "apricothead: name a method, for instance: apricothead call GetStatus\n";
+        return ExitUsage;
+    }
+    const OperatorCallResult result = runCall({
+        .address = line.address,
+        .token = line.token,
+        .method = line.words.front(),
+        .json = line.words.size() > 1 ? line.words[1] : std::string(),
+        .commandId = line.commandId,
+    });
+    if (!result.succeeded) {
+        return failed(result);
+    }
+    std::cout << result.text << '\n';
+    return ExitSuccess;
+}
+
+int report(const CommandLine &line)
+{
+    const OperatorCallResult result = runCall({.address = line.address, .token = line.token, .method = "GetReport"});
+    if (!result.succeeded) {
+        return failed(result);
+    }
+    const nlohmann::json answer = nlohmann::json::parse(result.text, nullptr, false);
+    std::cout << answer.value("text", result.text);
+    return ExitSuccess;
+}
+
+} // namespace Apricothead
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -44,6 +44,12 @@
             "Makes the replica of these settings the only member of its group. Commands that only the lost replicas held are gone.\n"
             "Without --confirm_replica it changes nothing and names the identity to confirm.\n",
             recover},
+    Command{"call",
+            "call a method of the operator service",
+            "apricothead call METHOD ['{JSON}'] [--address=IP:PORT] [--token=TOKEN] [--command_id=ID]\n\n"
+            "Methods are those of proto/apricothead/v1/operator.proto. Prints the JSON answer. Resends safely under one command id.\n",
+            call},
+    Command{"report", "print the report", "apricothead report [--address=IP:PORT] [--token=TOKEN]\n\nUnder 25 lines of 60 columns, plain text.\n", report},
     Command{"version", "print the version", "apricothead version\n", version},
 };
 
