--- a/app/RoleThread.cpp
+++ b/app/RoleThread.cpp
@@ -1,5 +1,6 @@
 #include "RoleThread.h"
 
+#include <pthread.h>
 #include <utility>
 
 namespace Apricothead {
@@ -34,6 +35,8 @@
 
 void RoleThread::run(const std::function<RoleHooks(EventLoop &)> &make, const std::function<void(const std::string &)> &failed)
 {
+    // Shown by top -H, so that processor time can be told apart by role.
+    pthread_setname_np(pthread_self(), this->label.c_str());
     this->hooks = make(this->loop);
     const std::string reason = this->hooks.start();
     if (reason.empty()) {
