Log of a request's end tells the time its admissions took

Cause: the bench shows latency above the aim, and nothing told admission and run apart. Change: admissionMs in request-ended; BENCH_LOG=1 keeps the bench entry's log at info.

--- a/Apricothead/src/Coordination/RequestRun.cpp
+++ b/Apricothead/src/Coordination/RequestRun.cpp
@@ -380,6 +380,7 @@
              {"verdict", std::string(verdictName(verdict))},
              {"status", std::uint64_t{status}},
              {"steps", std::uint64_t{this->step + 1}},
+             {"admissionMs", this->current ? this->current->admissionMs() : std::uint64_t{0}},
              {"firstByteMs", this->firstByteMs == 0 ? std::uint64_t{0} : this->firstByteMs - this->startedMs},
              {"tookMs", now - this->startedMs}});
     this->context.metrics.count("requests", verdictName(verdict));
--- a/Apricothead/src/Coordination/StepRun.cpp
+++ b/Apricothead/src/Coordination/StepRun.cpp
@@ -95,6 +95,7 @@
 {
     this->phase = Phase::Admitting;
     this->decision = chosen;
+    this->admitSinceMs = this->nowMs();
     Wire::Admit admit;
     *admit.mutable_key() = this->key();
     admit.set_attempt(this->nextAttempt);
@@ -119,6 +120,7 @@
 
 void StepRun::admissionDecided(const ProposeOutcome &outcome)
 {
+    this->admittingMs += this->nowMs() - this->admitSinceMs;
     if (this->phase != Phase::Admitting) {
         return;
     }
@@ -720,6 +722,11 @@
     return this->soFar;
 }
 
+std::uint64_t StepRun::admissionMs() const
+{
+    return this->admittingMs;
+}
+
 Wire::RequestKey StepRun::key() const
 {
     Wire::RequestKey runKey;
--- a/Apricothead/src/Coordination/StepRun.h
+++ b/Apricothead/src/Coordination/StepRun.h
@@ -78,6 +78,8 @@
     /** \returns true when \a key and \a attempt name the run under way */
     bool isRun(const Wire::RequestKey &key, unsigned attempt) const;
     Verdict verdict() const;
+    /** \returns how long all admissions of this step took together, in ms */
+    std::uint64_t admissionMs() const;
 
 private:
     enum class Phase {
@@ -145,6 +147,8 @@
     std::uint64_t deadlineMs = 0;
     std::uint64_t chooseUntilMs = 0;
     std::uint64_t phaseSinceMs = 0;
+    std::uint64_t admitSinceMs = 0;
+    std::uint64_t admittingMs = 0;
     std::uint64_t nextChunk = 0;
     std::uint64_t grantedUpTo = 0;
     std::uint64_t gapSinceMs = 0;
--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -111,8 +111,10 @@
         call.url = this->options.urls[this->started % this->options.urls.size()] + "/v1/chat/completions";
         call.headers = {{"authorization", "Bearer key-creek"}, {"content-type", "application/json"}};
         const std::string prompt = "bench " + std::to_string(::getpid()) + " " + std::to_string(this->started++);
-        call.body = nlohmann::json{
-            {"model", this->options.model}, {"stream", true}, {"max_tokens", this->options.tokens}, {"messages", {{{"role", "user"}, {"content", prompt}}}}}
+        call.body = nlohmann::json{{"model", this->options.model},
+                                   {"stream", true},
+                                   {"max_tokens", this->options.tokens},
+                                   {"messages", {{{"role", "user"}, {"content", prompt}}}}}
                         .dump();
         call.onData = [this, &slot](std::string_view data) {
             this->take(slot, data);
@@ -204,7 +206,7 @@
         const std::string own = settings["entry"]["callerAddress"];
         const std::string address = "127.0.0.1:" + std::to_string(FirstPort + ::getpid() % PortCount);
         settings["entry"]["callerAddress"] = address;
-        settings["logLevel"] = "warning";
+        settings["logLevel"] = std::getenv("BENCH_LOG") != nullptr ? "info" : "warning";
         const std::string file = this->cluster.folder() + "/entry-alone.json";
         std::ofstream(file) << settings.dump();
         const char *binary = std::getenv("APRICOTHEAD_BINARY");
