Cascades follow what past ratings say; a not repeatable request runs at one model only

Cause: the entry walked cascades by a threshold alone, and a not repeatable request could run once at each model of a cascade. Ruled out: a walk that may start anywhere for callers with a key of their own, since a resend at another entry would run a further step. Change: RequestRun asks decideCascadeStep with the entry's CascadeMemory, tiers with their prices and whether they are served; a not repeatable request is run at the best model alone.

--- a/Apricothead/src/Coordination/EndpointPool.cpp
+++ b/Apricothead/src/Coordination/EndpointPool.cpp
@@ -201,6 +201,11 @@
     return found == this->endpoints.end() ? 0 : found->second.gateTimeMs;
 }
 
+std::size_t EndpointPool::usableCount(const std::string &model, const std::string &version) const
+{
+    return this->tracker.table().usableCount(model, version);
+}
+
 void EndpointPool::tick()
 {
     this->links.tick();
--- a/Apricothead/src/Coordination/EndpointPool.h
+++ b/Apricothead/src/Coordination/EndpointPool.h
@@ -53,6 +53,9 @@
     /** \returns the endpoint process's own clock in its last report */
     std::uint64_t gateTimeMs(const std::string &endpoint) const;
 
+    /** \returns how many endpoints serve the version and may take work now */
+    std::size_t usableCount(const std::string &model, const std::string &version) const;
+
     /** To be called a few times a second. */
     void tick();
 
--- a/Apricothead/src/Coordination/EntryContext.h
+++ b/Apricothead/src/Coordination/EntryContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cascade.h"
 #include "EndpointPool.h"
 #include "Metrics.h"
 #include "ReplicaClient.h"
@@ -32,6 +33,9 @@
     SessionCache &sessions;
     Metrics &metrics;
     RolloutDriver &rollouts;
+    CascadeMemory &cascades;
+    /** Uniform in [0, 1). */
+    std::function<double()> draw;
     /** The newest configuration seen: a hint, the admission decides. */
     std::function<const Wire::Configuration &()> configuration;
     /** \returns wall-clock ms since 1970 */
--- a/Apricothead/src/Coordination/EntryTask.cpp
+++ b/Apricothead/src/Coordination/EntryTask.cpp
@@ -18,6 +18,7 @@
 #include "../Transport/Timer.h"
 
 #include <map>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -161,6 +162,11 @@
                             .sessions = this->sessions,
                             .metrics = this->metrics,
                             .rollouts = this->rollouts,
+                            .cascades = this->cascades,
+                            .draw =
+                                [engine = std::mt19937_64(std::random_device()())]() mutable {
+                                    return std::uniform_real_distribution<double>(0, 1)(engine);
+                                },
                             .configuration = [this]() -> const Wire::Configuration & {
                                 return this->replicas.configuration();
                             },
@@ -338,6 +344,7 @@
     RunRegistry runs;
     EndpointPool pool;
     RolloutDriver rollouts;
+    CascadeMemory cascades;
     AdmissionControl admission;
     ReplicaClient replicas;
     EntryContext context;
--- a/Apricothead/src/Coordination/RequestRun.cpp
+++ b/Apricothead/src/Coordination/RequestRun.cpp
@@ -1,5 +1,6 @@
 #include "RequestRun.h"
 
+#include "CascadePlan.h"
 #include "RunErrors.h"
 #include "RunRegistry.h"
 
@@ -78,18 +79,45 @@
 void RequestRun::planSteps()
 {
     this->ratingTimeout = DefaultRatingTimeout;
-    const Wire::Cascade *cascade = findCascade(this->context.configuration(), this->request->model);
-    if (cascade == nullptr || !this->request->payload.chat()) {
+    const Wire::Configuration &configuration = this->context.configuration();
+    const Wire::Cascade *known = findCascade(configuration, this->request->model);
+    if (known == nullptr || !this->request->payload.chat() || known->models().empty()) {
         this->models = {this->request->model};
         return;
     }
-    this->models.assign(cascade->models().begin(), cascade->models().end());
-    this->ratingThreshold = cascade->rating_threshold();
-    if (cascade->rating_timeout_ms() > 0) {
-        this->ratingTimeout = milliseconds(cascade->rating_timeout_ms());
+    if (!this->request->repeatable) {
+        // A run at a second model would be a second run: the best model alone is asked.
+        this->models = {*known->models().rbegin()};
+        return;
+    }
+    this->models.assign(known->models().begin(), known->models().end());
+    this->cascade = cascadeViewOf(configuration, *known, *this->request, [this](const std::string &model, const std::string &version) {
+        return this->context.pool.usableCount(model, version) > 0;
+    });
+    this->ratingTimeout = milliseconds(static_cast<std::int64_t>(this->cascade.ratingTimeoutMs));
+    // A caller with a key of its own may come back at another entry: its walk starts where any entry starts it.
+    if (!this->request->isKeyGiven) {
+        this->step = this->decideCascade().tier;
     }
 }
 
+CascadeDecision RequestRun::decideCascade()
+{
+    const CascadeDecision decision = decideCascadeStep(this->cascade, this->context.cascades, this->context.draw());
+    constexpr double NotRated = -1;
+    const bool isRated = this->cascade.answered && this->cascade.ratingState == RatingState::Arrived;
+    logLine(LogLevel::Info,
+            "cascade-decision",
+            {{"request", this->request->id},
+             {"deliver", decision.action == CascadeAction::Deliver},
+             {"model", this->models[decision.tier]},
+             {"reason", decision.reason},
+             {"rating", isRated ? this->cascade.rating : NotRated},
+             {"threshold", this->cascade.ratingThreshold},
+             {"goodShare", decision.goodShare}});
+    return decision;
+}
+
 void RequestRun::startStep()
 {
     const std::weak_ptr<RequestRun> weak = this->weak_from_this();
@@ -279,20 +307,24 @@
     if (this->isEnded) {
         return;
     }
-    const bool isGoodEnough = !rating || *rating >= this->ratingThreshold;
-    logLine(LogLevel::Info,
-            "cascade-decision",
-            {{"request", this->request->id},
-             {"model", this->models[this->step]},
-             {"rating", rating.value_or(-1)},
-             {"threshold", this->ratingThreshold},
-             {"decision", std::string(isGoodEnough ? "deliver" : "next-model")}});
-    if (isGoodEnough) {
+    CascadeMemory &memory = this->context.cascades;
+    const std::string &model = this->models[this->step];
+    if (rating) {
+        memory.noteRating(this->cascade.organisation, this->cascade.kind, model, *rating, this->cascade.ratingThreshold);
+    } else {
+        memory.noteAbsent(this->cascade.organisation, this->cascade.kind, model);
+    }
+    this->cascade.answered = this->step;
+    this->cascade.ratingState = rating ? RatingState::Arrived : RatingState::Absent;
+    this->cascade.rating = rating.value_or(0);
+    const CascadeDecision decision = this->decideCascade();
+    if (decision.action != CascadeAction::Run) {
         this->deliverHeld();
         return;
     }
     this->best = std::move(this->held);
-    this->nextStep();
+    this->step = decision.tier;
+    this->startStep();
 }
 
 void RequestRun::deliverHeld()
--- a/Apricothead/src/Coordination/RequestRun.h
+++ b/Apricothead/src/Coordination/RequestRun.h
@@ -55,6 +55,7 @@
     };
 
     void planSteps();
+    CascadeDecision decideCascade();
     void startStep();
     bool isLastStep() const;
     bool isErrorAnswer() const;
@@ -88,8 +89,9 @@
     Timer keepAlive;
     std::vector<PrefixBlock> prefixes;
     std::vector<std::string> models;
-    double ratingThreshold = 0;
     std::chrono::milliseconds ratingTimeout{0};
+    /** Empty tiers unless the request walks a cascade. */
+    CascadeView cascade;
     std::size_t step = 0;
     std::shared_ptr<StepRun> current;
     AnswerHead head;
--- a/test/entry.cpp
+++ b/test/entry.cpp
@@ -517,3 +517,46 @@
     BOOST_TEST(answer.status == 503);
     BOOST_TEST(answer.verdict() == "may-have-run");
 }
+
+BOOST_FIXTURE_TEST_CASE(walksACascadeByItsRatings, World)
+{
+    FakeEndpoint large(this->loop, this->replica, "ep-large", "large", "large-1");
+    large.onRun = [&](const AskedRun &asked) {
+        large.answerChat(asked, {"dear"});
+    };
+    double rating = 0.9;
+    HttpServer ratings(this->loop, HttpServerOptions{.address = "127.0.0.1:0", .onRequest = [&](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+                                                         reply->send(200, {}, nlohmann::json{{"rating", rating}}.dump());
+                                                     }});
+    this->entry.reset();
+    this->settings.entry->ratingUrl = "http://" + ratings.boundAddress() + "/rate";
+    this->startEntry();
+    BOOST_REQUIRE(this->wait([this] {
+        return this->entry->replicas().endpoints().size() == 4;
+    }));
+    const Answer &good = this->chat(false, {{"idempotency-key", "k1"}}, "thrifty");
+    BOOST_REQUIRE(this->waitFor(good));
+    BOOST_TEST(good.headers.at("x-version") == "small-1");
+    rating = 0.1;
+    const Answer &low = this->chat(true, {{"idempotency-key", "k2"}}, "thrifty");
+    BOOST_REQUIRE(this->waitFor(low));
+    BOOST_TEST(low.headers.at("x-version") == "large-1");
+    BOOST_TEST(low.body.find("Hel") == std::string::npos);
+    BOOST_TEST(low.result.whole);
+    BOOST_TEST(this->replica.record("mulgrave", "k2", 0).version() == "small-1");
+    BOOST_TEST(this->replica.record("mulgrave", "k2", 1).version() == "large-1");
+}
+
+BOOST_FIXTURE_TEST_CASE(runsANotRepeatableRequestAtOneModelOfACascadeOnly, World)
+{
+    FakeEndpoint large(this->loop, this->replica, "ep-large", "large", "large-1");
+    large.onRun = [&](const AskedRun &asked) {
+        large.start(asked, 500);
+        large.done(asked, 0, Wire::OUTCOME_FAILED, 500);
+    };
+    const Answer &answer = this->chat(false, {{"idempotency-key", "k1"}, {"x-not-repeatable", "true"}}, "thrifty");
+    BOOST_REQUIRE(this->waitFor(answer));
+    BOOST_TEST(answer.status == 502);
+    BOOST_TEST(answer.verdict() == "may-have-run");
+    BOOST_TEST(large.asked.size() + this->asked() == 1);
+}
