--- a/Apricothead/src/Coordination/EntryTask.cpp
+++ b/Apricothead/src/Coordination/EntryTask.cpp
@@ -19,6 +19,7 @@
 #include "../Transport/Timer.h"
 
 #include <map>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -162,6 +163,11 @@
                             .sessions = this->sessions,
                             .metrics = this->metrics,
                             .rollouts = this->rollouts,
+                            .cascades = this->cascades,
+                            .draw =
+                                [engine = std::mt19937_64(std::random_device()())]() mutable {
+                                    return std::uniform_real_distribution<double>(0, 1)(engine);
+                                },
                             .configuration = [this]() -> const Wire::Configuration & {
                                 return this->replicas.configuration();
                             },
@@ -378,6 +384,7 @@
     RunRegistry runs;
     EndpointPool pool;
     RolloutDriver rollouts;
+    CascadeMemory cascades;
     AdmissionControl admission;
     ReplicaClient replicas;
     EntryContext context;
