--- a/Apricothead/src/Coordination/StepRun.cpp
+++ b/Apricothead/src/Coordination/StepRun.cpp
@@ -8,6 +8,8 @@
 #include "../Transport/EventLoop.h"
 #include "../Transport/Log.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -71,6 +73,7 @@
     routing.version = version.version;
     routing.promptTokens = this->request.promptTokens;
     routing.avoid = this->avoid;
+    routing.homeKey = this->homeKey();
     const RoutingDecision chosen = this->context.pool.choose(std::move(routing), this->options.prefixes, this->request.id);
     if (!chosen.endpoint.empty()) {
         this->admit(chosen);
@@ -345,6 +348,7 @@
         this->gapSinceMs = this->gapSinceMs == 0 ? this->nowMs() : this->gapSinceMs;
         return;
     }
+    this->acknowledge(done);
     const bool isWhole = done.outcome() == Wire::OUTCOME_WHOLE;
     const bool isServiceAnswer = !this->request.payload.chat() && done.outcome() == Wire::OUTCOME_FAILED && done.status() > 0;
     this->soFar = combined(this->soFar, verdictOf(done.verdict()));
@@ -357,7 +361,7 @@
     }
     StepEnd stepEnd{.isWhole = isWhole || isServiceAnswer, .version = this->record.version(), .usage = done.usage(), .error = brokenRunError(done)};
     stepEnd.error.verdict = this->soFar;
-    this->endStep(std::move(stepEnd));
+    this->endStep(stepEnd);
     if (this->isAttachOnly) {
         this->finish();
         return;
@@ -365,6 +369,17 @@
     this->settle(done.outcome(), done.usage());
 }
 
+void StepRun::acknowledge(const Wire::RunDone &done)
+{
+    // An endpoint process that stops waits until the answer has been fetched.
+    Wire::Envelope message;
+    Wire::ChunkCredit &credit = *message.mutable_chunk_credit();
+    *credit.mutable_key() = done.key();
+    credit.set_attempt(done.attempt());
+    credit.set_next_chunk(done.chunks());
+    this->context.pool.send(this->record.endpoint(), std::move(message));
+}
+
 void StepRun::takeRefused(const Wire::RunRefused &refused)
 {
     const bool isNotRun = refused.verdict() == Wire::VERDICT_NOT_RUN;
@@ -638,7 +653,7 @@
     StepEnd stepEnd;
     stepEnd.version = this->chosenVersion;
     stepEnd.error = std::move(error);
-    this->endStep(std::move(stepEnd));
+    this->endStep(stepEnd);
 }
 
 void StepRun::endAndFinish(CallerError error)
@@ -647,7 +662,7 @@
     this->finish();
 }
 
-void StepRun::endStep(StepEnd stepEnd)
+void StepRun::endStep(const StepEnd &stepEnd)
 {
     if (std::exchange(this->isEnded, true) || this->hasLeft) {
         return;
@@ -708,6 +723,12 @@
     return this->soFar;
 }
 
+std::uint64_t StepRun::homeKey() const
+{
+    const std::string &subject = this->request.session.empty() && !this->request.messages.empty() ? this->request.messages.front() : this->request.session;
+    return subject.empty() ? 0 : XXH3_64bits(subject.data(), subject.size());
+}
+
 Wire::RequestKey StepRun::key() const
 {
     Wire::RequestKey runKey;
--- a/Apricothead/src/Coordination/StepRun.h
+++ b/Apricothead/src/Coordination/StepRun.h
@@ -102,6 +102,7 @@
     void takeStarted(const Wire::RunStarted &started);
     void takeChunk(const Wire::Chunk &chunk);
     void grantCredit();
+    void acknowledge(const Wire::RunDone &done);
     void takeDone(const Wire::RunDone &done);
     void takeRefused(const Wire::RunRefused &refused);
     void abandon(const Wire::RunRefused &refused);
@@ -116,11 +117,12 @@
     void sendCancel();
     void end(CallerError error);
     void endAndFinish(CallerError error);
-    void endStep(StepEnd stepEnd);
+    void endStep(const StepEnd &stepEnd);
     void endTicket(RunEnd runEnd);
     void endEvidence(RunEnd runEnd);
     void finish();
     Wire::RequestKey key() const;
+    std::uint64_t homeKey() const;
     bool isCancellable() const;
     std::uint64_t nowMs() const;
 
