--- a/Apricothead/src/Coordination/Directory.cpp
+++ b/Apricothead/src/Coordination/Directory.cpp
@@ -5,6 +5,15 @@
 #include <algorithm>
 
 namespace Apricothead {
+namespace {
+
+bool isListedOtherwise(const Wire::Heartbeat &former, const Wire::Heartbeat &latter)
+{
+    return former.has_endpoint() != latter.has_endpoint() || former.leaving() != latter.leaving()
+        || former.endpoint().SerializeAsString() != latter.endpoint().SerializeAsString();
+}
+
+} // namespace
 
 Directory::Directory(std::uint64_t silence, std::uint64_t forget) : silenceMs(silence), forgetMs(forget)
 { }
@@ -17,8 +26,13 @@
         // A message of the process's former run that arrived late.
         return;
     }
+    const bool wasSilent = nowMs - process.heardMs > this->silenceMs;
+    const bool changed = wasSilent || isListedOtherwise(process.heartbeat, heartbeat);
     process.heartbeat = heartbeat;
     process.heardMs = nowMs;
+    if (changed) {
+        this->listEndpoints(nowMs);
+    }
     this->checkInForce(nowMs);
 }
 
@@ -27,6 +41,7 @@
     std::erase_if(this->known, [&](const auto &entry) {
         return nowMs - entry.second.heardMs > this->forgetMs;
     });
+    this->listEndpoints(nowMs);
     this->checkInForce(nowMs);
 }
 
@@ -54,43 +69,48 @@
     }
 }
 
-std::vector<Wire::EndpointStatus> Directory::endpoints(std::uint64_t nowMs) const
+void Directory::listEndpoints(std::uint64_t nowMs)
 {
-    std::vector<Wire::EndpointStatus> result;
+    this->listed.clear();
     for (const auto &[name, process] : this->known) {
         if (!process.heartbeat.has_endpoint() || nowMs - process.heardMs > this->silenceMs) {
             continue;
         }
         Wire::EndpointStatus endpoint = process.heartbeat.endpoint();
         endpoint.set_leaving(endpoint.leaving() || process.heartbeat.leaving());
-        result.push_back(std::move(endpoint));
+        this->listed.push_back(std::move(endpoint));
     }
-    std::sort(result.begin(), result.end(), [](const auto &left, const auto &right) {
+    std::sort(this->listed.begin(), this->listed.end(), [](const auto &left, const auto &right) {
         return left.endpoint() < right.endpoint();
     });
-    return result;
-}
-
-std::uint64_t Directory::number(std::uint64_t nowMs) const
-{
     std::uint64_t hash = 0;
-    for (const Wire::EndpointStatus &endpoint : this->endpoints(nowMs)) {
+    for (const Wire::EndpointStatus &endpoint : this->listed) {
         const std::string bytes = endpoint.SerializeAsString();
         hash = XXH3_64bits_withSeed(bytes.data(), bytes.size(), hash);
     }
-    return std::max<std::uint64_t>(1, hash);
+    this->listedNumber = std::max<std::uint64_t>(1, hash);
+}
+
+const std::vector<Wire::EndpointStatus> &Directory::endpoints() const
+{
+    return this->listed;
+}
+
+std::uint64_t Directory::number() const
+{
+    return this->listedNumber;
 }
 
 std::vector<Wire::EntryDigest> Directory::digests(std::uint64_t nowMs) const
 {
-    std::vector<Wire::EntryDigest> listed;
+    std::vector<Wire::EntryDigest> found;
     for (const auto &[process, state] : this->known) {
         if (!state.heartbeat.has_digest() || nowMs - state.heardMs > this->silenceMs) {
             continue;
         }
-        listed.push_back(state.heartbeat.digest());
+        found.push_back(state.heartbeat.digest());
     }
-    return listed;
+    return found;
 }
 
 std::vector<Wire::ProcessStatus> Directory::processes(std::uint64_t nowMs) const
--- a/Apricothead/src/Coordination/Directory.h
+++ b/Apricothead/src/Coordination/Directory.h
@@ -23,17 +23,17 @@
 
     void heard(const Wire::Heartbeat &heartbeat, std::uint64_t nowMs);
 
-    /** Drops processes that have been silent for too long. Called now and then. */
+    /** Takes silent endpoint processes off the list, and forgets processes that have been silent for too long. Called now and then. */
     void expire(std::uint64_t nowMs);
 
     /** A revision of the configuration is in force at this replica. */
     void revisionApplied(std::uint64_t revision, std::uint64_t nowMs);
 
     /** \returns the endpoint processes heard lately, in order of their names */
-    std::vector<Wire::EndpointStatus> endpoints(std::uint64_t nowMs) const;
+    const std::vector<Wire::EndpointStatus> &endpoints() const;
 
     /** \returns a number that changes with endpoints(); never 0 */
-    std::uint64_t number(std::uint64_t nowMs) const;
+    std::uint64_t number() const;
 
     /** \returns the newest digest of each entry process heard lately */
     std::vector<Wire::EntryDigest> digests(std::uint64_t nowMs) const;
@@ -52,10 +52,14 @@
         std::uint64_t heardMs = 0;
     };
     void checkInForce(std::uint64_t nowMs);
+    void listEndpoints(std::uint64_t nowMs);
 
     std::uint64_t silenceMs;
     std::uint64_t forgetMs;
     std::map<std::string, Known> known;
+    // The list and its number change rarely, and every heartbeat asks for the number.
+    std::vector<Wire::EndpointStatus> listed;
+    std::uint64_t listedNumber = 1;
     std::uint64_t revision = 0;
     std::uint64_t revisionAtMs = 0;
     std::uint64_t inForceMs = 0;
--- a/Apricothead/src/Coordination/EndpointWatch.cpp
+++ b/Apricothead/src/Coordination/EndpointWatch.cpp
@@ -43,7 +43,7 @@
 std::vector<Wire::Command> EndpointWatch::due(const Directory &directory, std::uint64_t nowMs)
 {
     std::vector<Wire::Command> commands;
-    for (const Wire::EndpointStatus &endpoint : directory.endpoints(nowMs)) {
+    for (const Wire::EndpointStatus &endpoint : directory.endpoints()) {
         const auto found = this->known.find(endpoint.endpoint());
         const bool isNew = found == this->known.end() || endpoint.incarnation() > found->second.incarnation;
         const bool isBack = !isNew && endpoint.incarnation() == found->second.incarnation && found->second.lost;
--- a/Apricothead/src/Coordination/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/ReplicaTask.cpp
@@ -2,6 +2,7 @@
 
 #include "Directory.h"
 #include "EndpointWatch.h"
+#include "ForwardedCalls.h"
 #include "MemberChange.h"
 #include "ReplicaLinks.h"
 
@@ -73,15 +74,6 @@
     std::string leader;
 };
 
-/** A call that was passed on to the leader. */
-struct ForwardedCall {
-    PeerId peer;
-    std::uint64_t call = 0;
-    std::string address;
-    std::uint64_t deadlineMs = 0;
-    Wire::Envelope::BodyCase kind = Wire::Envelope::BODY_NOT_SET;
-};
-
 /** A proposal that was appended here and waits for its commit. */
 struct WaitingProposal {
     std::uint64_t term = 0;
@@ -165,12 +157,6 @@
     bool isRedundant() const;
     std::string leaderAddress() const;
 
-    // Calls passed on to the leader
-    bool forward(const PeerId &peer, Wire::Envelope message, std::uint64_t call);
-    void takeForwardedReply(Wire::Envelope message, std::uint64_t call);
-    void dropForwarded(const std::function<bool(const detail::ForwardedCall &)> &lost);
-    void replyLost(const detail::ForwardedCall &call);
-
     // Processes
     void sendUpdate(const PeerId &peer, detail::ConnectedProcess &process, bool withDigests = false);
     void sendUpdates();
@@ -204,6 +190,7 @@
     bool flushing = false;
     std::uint64_t startedMs = 0;
     std::uint64_t appliedIndex = 0;
+    std::uint64_t appliedTerm = 0;
     std::uint64_t snapshotIndex = 0;
     std::int64_t lastStampMs = 0;
     RaftRole knownRole = RaftRole::Follower;
@@ -213,7 +200,7 @@
     std::uint64_t nextId = 1;
     std::map<std::uint64_t, detail::WaitingProposal> waiting;
     std::map<std::uint64_t, detail::WaitingQuery> queries;
-    std::map<std::uint64_t, detail::ForwardedCall> forwarded;
+    std::unique_ptr<ForwardedCalls> forwarded;
     std::map<PeerId, detail::ConnectedProcess> processes;
     std::map<std::string, std::uint64_t> replicaHeardMs;
     std::optional<detail::RunningChange> change;
@@ -293,12 +280,11 @@
                                                          },
                                                      .onSilent =
                                                          [this](const std::string &address) {
-                                                             this->dropForwarded([&address](const detail::ForwardedCall &call) {
-                                                                 return call.address == address;
-                                                             });
+                                                             this->forwarded->dropAddress(address);
                                                          },
                                                      .beforeSend = this->options.beforeSend,
                                                  });
+    this->forwarded = std::make_unique<ForwardedCalls>(*this->links, static_cast<std::uint64_t>(this->settings.timing.proposal.count()));
     this->links->setMembers(this->raft->membership());
     this->knownMembershipIndex = this->raft->log().membershipIndex();
 }
@@ -317,6 +303,7 @@
         if (!*token) {
             return;
         }
+        this->forwarded.reset();
         this->links.reset();
         if (this->options.onFailed) {
             this->options.onFailed(reason);
@@ -342,7 +329,8 @@
     logLine(LogLevel::Info, "replica-stopped", {{"handedOver", !leading}});
     this->loop.post([this, token = this->alive, done = std::exchange(this->stopped, nullptr)] {
         if (*token) {
-            this->links.reset();
+            this->forwarded.reset();
+        this->links.reset();
             done();
         }
     });
@@ -434,6 +422,7 @@
 void ReplicaTask::Private::apply(const Wire::LogEntry &entry)
 {
     this->appliedIndex = entry.index();
+    this->appliedTerm = entry.term();
     if (entry.kind() == Wire::ENTRY_KIND_COMMAND) {
         this->applyCommand(entry);
         return;
@@ -575,13 +564,13 @@
         this->takeRaft(message.raft());
         return;
     case Wire::Envelope::kProposeReply:
-        this->takeForwardedReply(message, message.propose_reply().call());
+        this->forwarded->takeReply(message);
         return;
     case Wire::Envelope::kQueryReply:
-        this->takeForwardedReply(message, message.query_reply().call());
+        this->forwarded->takeReply(message);
         return;
     case Wire::Envelope::kChangeMembersReply:
-        this->takeForwardedReply(message, message.change_members_reply().call());
+        this->forwarded->takeReply(message);
         return;
     case Wire::Envelope::kInviteReply:
         this->takeInviteReply(message.invite_reply());
@@ -608,7 +597,7 @@
     }
     Wire::Envelope message = this->links->envelope();
     *message.mutable_propose() = propose;
-    if (propose.forwarded() || !this->forward(peer, std::move(message), propose.call())) {
+    if (propose.forwarded() || !this->forwarded->forward(peer, std::move(message), this->leaderAddress(), this->now())) {
         this->replyPropose(peer, propose.call(), Wire::PROPOSE_STATUS_NOT_APPENDED, nullptr);
     }
 }
@@ -653,84 +642,6 @@
     return member == nullptr ? std::string() : member->address();
 }
 
-// ---- calls passed on to the leader ----
-
-bool ReplicaTask::Private::forward(const PeerId &peer, Wire::Envelope message, std::uint64_t call)
-{
-    const std::string address = this->leaderAddress();
-    if (address.empty()) {
-        return false;
-    }
-    const std::uint64_t id = this->nextId++;
-    if (message.has_propose()) {
-        message.mutable_propose()->set_call(id);
-        message.mutable_propose()->set_forwarded(true);
-    } else if (message.has_query()) {
-        message.mutable_query()->set_call(id);
-        message.mutable_query()->set_forwarded(true);
-    } else {
-        message.mutable_change_members()->set_call(id);
-        message.mutable_change_members()->set_forwarded(true);
-    }
-    const Wire::Envelope::BodyCase kind = message.body_case();
-    if (!this->links->sendTo(address, message)) {
-        return false;
-    }
-    const std::uint64_t wait = static_cast<std::uint64_t>(this->settings.timing.proposal.count());
-    this->forwarded[id] = {.peer = peer, .call = call, .address = address, .deadlineMs = this->now() + wait, .kind = kind};
-    return true;
-}
-
-void ReplicaTask::Private::takeForwardedReply(Wire::Envelope message, std::uint64_t call)
-{
-    const auto found = this->forwarded.find(call);
-    if (found == this->forwarded.end()) {
-        return;
-    }
-    const detail::ForwardedCall original = found->second;
-    this->forwarded.erase(found);
-    if (message.has_propose_reply()) {
-        message.mutable_propose_reply()->set_call(original.call);
-    } else if (message.has_query_reply()) {
-        message.mutable_query_reply()->set_call(original.call);
-    } else {
-        message.mutable_change_members_reply()->set_call(original.call);
-    }
-    message.set_sender(this->store->replica());
-    this->links->reply(original.peer, message);
-}
-
-void ReplicaTask::Private::dropForwarded(const std::function<bool(const detail::ForwardedCall &)> &lost)
-{
-    for (auto call = this->forwarded.begin(); call != this->forwarded.end();) {
-        if (!lost(call->second)) {
-            ++call;
-            continue;
-        }
-        this->replyLost(call->second);
-        call = this->forwarded.erase(call);
-    }
-}
-
-void ReplicaTask::Private::replyLost(const detail::ForwardedCall &call)
-{
-    const Wire::Error error = detail::unavailable("the leader did not answer", "ask again");
-    Wire::Envelope message = this->links->envelope();
-    if (call.kind == Wire::Envelope::kPropose) {
-        // The leader may have appended it.
-        this->replyPropose(call.peer, call.call, Wire::PROPOSE_STATUS_UNKNOWN, nullptr);
-        return;
-    }
-    if (call.kind == Wire::Envelope::kQuery) {
-        message.mutable_query_reply()->set_call(call.call);
-        *message.mutable_query_reply()->mutable_error() = error;
-    } else {
-        message.mutable_change_members_reply()->set_call(call.call);
-        *message.mutable_change_members_reply()->mutable_error() = error;
-    }
-    this->links->reply(call.peer, message);
-}
-
 // ---- queries ----
 
 void ReplicaTask::Private::takeQuery(const PeerId &peer, const Wire::Query &query)
@@ -743,7 +654,7 @@
     }
     Wire::Envelope message = this->links->envelope();
     *message.mutable_query() = query;
-    if (!query.forwarded() && this->forward(peer, std::move(message), query.call())) {
+    if (!query.forwarded() && this->forwarded->forward(peer, std::move(message), this->leaderAddress(), this->now())) {
         return;
     }
     Wire::Envelope reply = this->links->envelope();
@@ -813,8 +724,8 @@
     for (Wire::ProcessStatus &process : this->directory.processes(this->now())) {
         status.add_processes()->Swap(&process);
     }
-    for (Wire::EndpointStatus &endpoint : this->directory.endpoints(this->now())) {
-        status.add_endpoints()->Swap(&endpoint);
+    for (const Wire::EndpointStatus &endpoint : this->directory.endpoints()) {
+        *status.add_endpoints() = endpoint;
     }
     status.set_sessions(this->machine.sessionCount());
     status.set_records(this->machine.recordCount());
@@ -863,7 +774,7 @@
     process.revision = heartbeat.revision();
     process.directoryNumber = heartbeat.directory_number();
     const bool outdated = process.revision < this->machine.configuration().revision() || process.leader != this->leaderAddress()
-        || process.directoryNumber != this->directory.number(this->now());
+        || process.directoryNumber != this->directory.number();
     if (outdated || heartbeat.has_digest()) {
         this->sendUpdate(peer, process, heartbeat.has_digest());
     }
@@ -877,14 +788,14 @@
         *update->mutable_configuration() = this->machine.configuration();
         process.revision = this->machine.configuration().revision();
     }
-    const std::uint64_t number = this->directory.number(this->now());
+    const std::uint64_t number = this->directory.number();
     // Right after its start a replica has not heard all processes yet.
     const bool settled = this->now() - this->startedMs > 2 * static_cast<std::uint64_t>(this->settings.timing.directoryHeartbeat.count());
     if (process.directoryNumber != number && settled) {
         update->set_directory_changed(true);
         update->set_directory_number(number);
-        for (Wire::EndpointStatus &endpoint : this->directory.endpoints(this->now())) {
-            update->add_endpoints()->Swap(&endpoint);
+        for (const Wire::EndpointStatus &endpoint : this->directory.endpoints()) {
+            *update->add_endpoints() = endpoint;
         }
         *update->mutable_members() = this->raft->membership().members();
         process.directoryNumber = number;
@@ -923,7 +834,7 @@
     if (this->raft->role() != RaftRole::Leader || this->stopping) {
         Wire::Envelope message = this->links->envelope();
         *message.mutable_change_members() = request;
-        if (request.forwarded() || !this->forward(peer, std::move(message), request.call())) {
+        if (request.forwarded() || !this->forwarded->forward(peer, std::move(message), this->leaderAddress(), this->now())) {
             refuse(detail::noLeader());
         }
         return;
@@ -1066,10 +977,9 @@
 {
     const std::uint64_t nowMs = this->now();
     this->directory.expire(nowMs);
-    this->dropForwarded([nowMs](const detail::ForwardedCall &call) {
-        return nowMs >= call.deadlineMs;
-    });
-    if (this->raft->role() != RaftRole::Leader || this->raft->commitIndex() != this->appliedIndex) {
+    this->forwarded->expire(nowMs);
+    // A leader acts on the state only once it has applied an entry of its own term, and with it all earlier ones.
+    if (this->raft->role() != RaftRole::Leader || this->appliedTerm != this->raft->term()) {
         return;
     }
     this->watchEndpoints();
