--- a/Apricothead/src/Coordination/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/ReplicaTask.cpp
@@ -330,7 +330,7 @@
     this->loop.post([this, token = this->alive, done = std::exchange(this->stopped, nullptr)] {
         if (*token) {
             this->forwarded.reset();
-        this->links.reset();
+            this->links.reset();
             done();
         }
     });
--- a/bench/admission.cpp
+++ b/bench/admission.cpp
@@ -291,11 +291,11 @@
 private:
     void paced(const Load &load, Clock::time_point end, const std::function<void(Clock::time_point)> &start)
     {
-        constexpr std::chrono::milliseconds step{1};
+        constexpr std::chrono::milliseconds PaceInterval{1};
         double owed = 0;
         auto last = Clock::now();
         while (Clock::now() < end) {
-            std::this_thread::sleep_for(step);
+            std::this_thread::sleep_for(PaceInterval);
             const auto now = Clock::now();
             owed += load.rate * std::chrono::duration<double>(now - last).count();
             last = now;
