Replica: what a leader reports of the cluster is a module of its own

Cause: ReplicaTask does too much in one file. Ruled out: passing the whole task to the report; it gets a view. Change: ClusterReport with describeCluster() and isRedundant(). Conclusion: behaviour as before.

--- a/Apricothead/src/Coordination/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/ReplicaTask.cpp
@@ -1,5 +1,6 @@
 #include "ReplicaTask.h"
 
+#include "ClusterReport.h"
 #include "Directory.h"
 #include "EndpointWatch.h"
 #include "ForwardedCalls.h"
@@ -152,9 +153,8 @@
     void replyPropose(const PeerId &peer, std::uint64_t call, Wire::ProposeStatus status, const Wire::CommandResult *result);
     void answerReads(const std::vector<RaftRead> &reads);
     void answerQuery(const PeerId &peer, const Wire::Query &query);
-    Wire::ClusterStatus status() const;
+    ClusterView view() const;
     bool isReachable(const std::string &replica) const;
-    bool isRedundant() const;
     std::string leaderAddress() const;
 
     // Processes
@@ -695,45 +695,28 @@
     } else if (query.has_record()) {
         *reply->mutable_record() = this->machine.record(query.record().key());
     } else if (query.has_status()) {
-        *reply->mutable_status() = this->status();
+        *reply->mutable_status() = describeCluster(this->view());
     } else {
         *reply->mutable_configuration() = this->machine.configuration();
     }
     this->links->reply(peer, message);
 }
 
-Wire::ClusterStatus ReplicaTask::Private::status() const
+ClusterView ReplicaTask::Private::view() const
 {
-    Wire::ClusterStatus status;
-    status.set_leader(this->raft->leader());
-    status.set_term(this->raft->term());
-    status.set_commit_index(this->raft->commitIndex());
-    status.set_applied_index(this->appliedIndex);
-    status.set_first_index(this->raft->log().firstIndex());
-    for (const Wire::Member &member : this->raft->membership().members()) {
-        Wire::ReplicaStatus *replica = status.add_replicas();
-        replica->set_replica(member.replica());
-        replica->set_address(member.address());
-        replica->set_learner(member.learner());
-        replica->set_availability_zone(member.availability_zone());
-        const bool self = member.replica() == this->store->replica();
-        const auto progress = this->raft->progress().find(member.replica());
-        replica->set_reachable(self || this->isReachable(member.replica()));
-        replica->set_match_index(self ? this->raft->log().lastIndex() : (progress == this->raft->progress().end() ? 0 : progress->second.match));
-    }
-    for (Wire::ProcessStatus &process : this->directory.processes(this->now())) {
-        status.add_processes()->Swap(&process);
-    }
-    for (const Wire::EndpointStatus &endpoint : this->directory.endpoints()) {
-        *status.add_endpoints() = endpoint;
-    }
-    status.set_sessions(this->machine.sessionCount());
-    status.set_records(this->machine.recordCount());
-    status.set_retired_keys(this->machine.retiredKeyCount());
-    status.set_in_force_after_ms(this->directory.inForceAfterMs());
-    status.set_revision(this->machine.configuration().revision());
-    status.set_redundant(this->isRedundant());
-    return status;
+    return {
+        .raft = *this->raft,
+        .machine = this->machine,
+        .directory = this->directory,
+        .self = this->store->replica(),
+        .appliedIndex = this->appliedIndex,
+        .nowMs = this->now(),
+        .wantedVoters = this->settings.seeds.size(),
+        .isReachable =
+            [this](const std::string &replica) {
+                return this->isReachable(replica);
+            },
+    };
 }
 
 bool ReplicaTask::Private::isReachable(const std::string &replica) const
@@ -743,28 +726,6 @@
     return heard != this->replicaHeardMs.end() && this->now() - heard->second <= silence;
 }
 
-bool ReplicaTask::Private::isRedundant() const
-{
-    std::size_t whole = 0;
-    for (const Wire::Member &member : this->raft->membership().members()) {
-        if (member.learner()) {
-            continue;
-        }
-        if (member.replica() == this->store->replica()) {
-            ++whole;
-            continue;
-        }
-        const auto progress = this->raft->progress().find(member.replica());
-        const bool hasAll
-            = progress != this->raft->progress().end() && progress->second.match >= this->raft->log().membershipIndex() && !progress->second.probing;
-        if (!hasAll || !this->isReachable(member.replica())) {
-            return false;
-        }
-        ++whole;
-    }
-    return whole >= this->settings.seeds.size();
-}
-
 // ---- processes ----
 
 void ReplicaTask::Private::takeHeartbeat(const PeerId &peer, const Wire::Heartbeat &heartbeat)
