--- a/Apricothead/src/Coordination/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/ReplicaTask.cpp
@@ -1,7 +1,9 @@
 #include "ReplicaTask.h"
 
+#include "ClusterReport.h"
 #include "Directory.h"
 #include "EndpointWatch.h"
+#include "ForwardedCalls.h"
 #include "MemberChange.h"
 #include "ReplicaLinks.h"
 
@@ -73,15 +75,6 @@
     std::string leader;
 };
 
-/** A call that was passed on to the leader. */
-struct ForwardedCall {
-    PeerId peer;
-    std::uint64_t call = 0;
-    std::string address;
-    std::uint64_t deadlineMs = 0;
-    Wire::Envelope::BodyCase kind = Wire::Envelope::BODY_NOT_SET;
-};
-
 /** A proposal that was appended here and waits for its commit. */
 struct WaitingProposal {
     std::uint64_t term = 0;
@@ -160,17 +153,10 @@
     void replyPropose(const PeerId &peer, std::uint64_t call, Wire::ProposeStatus status, const Wire::CommandResult *result);
     void answerReads(const std::vector<RaftRead> &reads);
     void answerQuery(const PeerId &peer, const Wire::Query &query);
-    Wire::ClusterStatus status() const;
+    ClusterView view() const;
     bool isReachable(const std::string &replica) const;
-    bool isRedundant() const;
     std::string leaderAddress() const;
 
-    // Calls passed on to the leader
-    bool forward(const PeerId &peer, Wire::Envelope message, std::uint64_t call);
-    void takeForwardedReply(Wire::Envelope message, std::uint64_t call);
-    void dropForwarded(const std::function<bool(const detail::ForwardedCall &)> &lost);
-    void replyLost(const detail::ForwardedCall &call);
-
     // Processes
     void sendUpdate(const PeerId &peer, detail::ConnectedProcess &process, bool withDigests = false);
     void sendUpdates();
@@ -204,6 +190,7 @@
     bool flushing = false;
     std::uint64_t startedMs = 0;
     std::uint64_t appliedIndex = 0;
+    std::uint64_t appliedTerm = 0;
     std::uint64_t snapshotIndex = 0;
     std::int64_t lastStampMs = 0;
     RaftRole knownRole = RaftRole::Follower;
@@ -213,7 +200,7 @@
     std::uint64_t nextId = 1;
     std::map<std::uint64_t, detail::WaitingProposal> waiting;
     std::map<std::uint64_t, detail::WaitingQuery> queries;
-    std::map<std::uint64_t, detail::ForwardedCall> forwarded;
+    std::unique_ptr<ForwardedCalls> forwarded;
     std::map<PeerId, detail::ConnectedProcess> processes;
     std::map<std::string, std::uint64_t> replicaHeardMs;
     std::optional<detail::RunningChange> change;
@@ -293,12 +280,11 @@
                                                          },
                                                      .onSilent =
                                                          [this](const std::string &address) {
-                                                             this->dropForwarded([&address](const detail::ForwardedCall &call) {
-                                                                 return call.address == address;
-                                                             });
+                                                             this->forwarded->dropAddress(address);
                                                          },
                                                      .beforeSend = this->options.beforeSend,
                                                  });
+    this->forwarded = std::make_unique<ForwardedCalls>(*this->links, static_cast<std::uint64_t>(this->settings.timing.proposal.count()));
     this->links->setMembers(this->raft->membership());
     this->knownMembershipIndex = this->raft->log().membershipIndex();
 }
@@ -317,6 +303,7 @@
         if (!*token) {
             return;
         }
+        this->forwarded.reset();
         this->links.reset();
         if (this->options.onFailed) {
             this->options.onFailed(reason);
@@ -342,6 +329,7 @@
     logLine(LogLevel::Info, "replica-stopped", {{"handedOver", !leading}});
     this->loop.post([this, token = this->alive, done = std::exchange(this->stopped, nullptr)] {
         if (*token) {
+            this->forwarded.reset();
             this->links.reset();
             done();
         }
@@ -434,6 +422,7 @@
 void ReplicaTask::Private::apply(const Wire::LogEntry &entry)
 {
     this->appliedIndex = entry.index();
+    this->appliedTerm = entry.term();
     if (entry.kind() == Wire::ENTRY_KIND_COMMAND) {
         this->applyCommand(entry);
         return;
@@ -575,13 +564,9 @@
         this->takeRaft(message.raft());
         return;
     case Wire::Envelope::kProposeReply:
-        this->takeForwardedReply(message, message.propose_reply().call());
-        return;
     case Wire::Envelope::kQueryReply:
-        this->takeForwardedReply(message, message.query_reply().call());
-        return;
     case Wire::Envelope::kChangeMembersReply:
-        this->takeForwardedReply(message, message.change_members_reply().call());
+        this->forwarded->takeReply(message);
         return;
     case Wire::Envelope::kInviteReply:
         this->takeInviteReply(message.invite_reply());
@@ -608,7 +593,7 @@
     }
     Wire::Envelope message = this->links->envelope();
     *message.mutable_propose() = propose;
-    if (propose.forwarded() || !this->forward(peer, std::move(message), propose.call())) {
+    if (propose.forwarded() || !this->forwarded->forward(peer, std::move(message), this->leaderAddress(), this->now())) {
         this->replyPropose(peer, propose.call(), Wire::PROPOSE_STATUS_NOT_APPENDED, nullptr);
     }
 }
@@ -653,84 +638,6 @@
     return member == nullptr ? std::string() : member->address();
 }
 
-// ---- calls passed on to the leader ----
-
-bool ReplicaTask::Private::forward(const PeerId &peer, Wire::Envelope message, std::uint64_t call)
-{
-    const std::string address = this->leaderAddress();
-    if (address.empty()) {
-        return false;
-    }
-    const std::uint64_t id = this->nextId++;
-    if (message.has_propose()) {
-        message.mutable_propose()->set_call(id);
-        message.mutable_propose()->set_forwarded(true);
-    } else if (message.has_query()) {
-        message.mutable_query()->set_call(id);
-        message.mutable_query()->set_forwarded(true);
-    } else {
-        message.mutable_change_members()->set_call(id);
-        message.mutable_change_members()->set_forwarded(true);
-    }
-    const Wire::Envelope::BodyCase kind = message.body_case();
-    if (!this->links->sendTo(address, message)) {
-        return false;
-    }
-    const std::uint64_t wait = static_cast<std::uint64_t>(this->settings.timing.proposal.count());
-    this->forwarded[id] = {.peer = peer, .call = call, .address = address, .deadlineMs = this->now() + wait, .kind = kind};
-    return true;
-}
-
-void ReplicaTask::Private::takeForwardedReply(Wire::Envelope message, std::uint64_t call)
-{
-    const auto found = this->forwarded.find(call);
-    if (found == this->forwarded.end()) {
-        return;
-    }
-    const detail::ForwardedCall original = found->second;
-    this->forwarded.erase(found);
-    if (message.has_propose_reply()) {
-        message.mutable_propose_reply()->set_call(original.call);
-    } else if (message.has_query_reply()) {
-        message.mutable_query_reply()->set_call(original.call);
-    } else {
-        message.mutable_change_members_reply()->set_call(original.call);
-    }
-    message.set_sender(this->store->replica());
-    this->links->reply(original.peer, message);
-}
-
-void ReplicaTask::Private::dropForwarded(const std::function<bool(const detail::ForwardedCall &)> &lost)
-{
-    for (auto call = this->forwarded.begin(); call != this->forwarded.end();) {
-        if (!lost(call->second)) {
-            ++call;
-            continue;
-        }
-        this->replyLost(call->second);
-        call = this->forwarded.erase(call);
-    }
-}
-
-void ReplicaTask::Private::replyLost(const detail::ForwardedCall &call)
-{
-    const Wire::Error error = detail::unavailable("the leader did not answer", "ask again");
-    Wire::Envelope message = this->links->envelope();
-    if (call.kind == Wire::Envelope::kPropose) {
-        // The leader may have appended it.
-        this->replyPropose(call.peer, call.call, Wire::PROPOSE_STATUS_UNKNOWN, nullptr);
-        return;
-    }
-    if (call.kind == Wire::Envelope::kQuery) {
-        message.mutable_query_reply()->set_call(call.call);
-        *message.mutable_query_reply()->mutable_error() = error;
-    } else {
-        message.mutable_change_members_reply()->set_call(call.call);
-        *message.mutable_change_members_reply()->mutable_error() = error;
-    }
-    this->links->reply(call.peer, message);
-}
-
 // ---- queries ----
 
 void ReplicaTask::Private::takeQuery(const PeerId &peer, const Wire::Query &query)
@@ -743,7 +650,7 @@
     }
     Wire::Envelope message = this->links->envelope();
     *message.mutable_query() = query;
-    if (!query.forwarded() && this->forward(peer, std::move(message), query.call())) {
+    if (!query.forwarded() && this->forwarded->forward(peer, std::move(message), this->leaderAddress(), this->now())) {
         return;
     }
     Wire::Envelope reply = this->links->envelope();
@@ -784,45 +691,28 @@
     } else if (query.has_record()) {
         *reply->mutable_record() = this->machine.record(query.record().key());
     } else if (query.has_status()) {
-        *reply->mutable_status() = this->status();
+        *reply->mutable_status() = describeCluster(this->view());
     } else {
         *reply->mutable_configuration() = this->machine.configuration();
     }
     this->links->reply(peer, message);
 }
 
-Wire::ClusterStatus ReplicaTask::Private::status() const
+ClusterView ReplicaTask::Private::view() const
 {
-    Wire::ClusterStatus status;
-    status.set_leader(this->raft->leader());
-    status.set_term(this->raft->term());
-    status.set_commit_index(this->raft->commitIndex());
-    status.set_applied_index(this->appliedIndex);
-    status.set_first_index(this->raft->log().firstIndex());
-    for (const Wire::Member &member : this->raft->membership().members()) {
-        Wire::ReplicaStatus *replica = status.add_replicas();
-        replica->set_replica(member.replica());
-        replica->set_address(member.address());
-        replica->set_learner(member.learner());
-        replica->set_availability_zone(member.availability_zone());
-        const bool self = member.replica() == this->store->replica();
-        const auto progress = this->raft->progress().find(member.replica());
-        replica->set_reachable(self || this->isReachable(member.replica()));
-        replica->set_match_index(self ? this->raft->log().lastIndex() : (progress == this->raft->progress().end() ? 0 : progress->second.match));
-    }
-    for (Wire::ProcessStatus &process : this->directory.processes(this->now())) {
-        status.add_processes()->Swap(&process);
-    }
-    for (Wire::EndpointStatus &endpoint : this->directory.endpoints(this->now())) {
-        status.add_endpoints()->Swap(&endpoint);
-    }
-    status.set_sessions(this->machine.sessionCount());
-    status.set_records(this->machine.recordCount());
-    status.set_retired_keys(this->machine.retiredKeyCount());
-    status.set_in_force_after_ms(this->directory.inForceAfterMs());
-    status.set_revision(this->machine.configuration().revision());
-    status.set_redundant(this->isRedundant());
-    return status;
+    return {
+        .raft = *this->raft,
+        .machine = this->machine,
+        .directory = this->directory,
+        .self = this->store->replica(),
+        .appliedIndex = this->appliedIndex,
+        .nowMs = this->now(),
+        .wantedVoters = this->settings.seeds.size(),
+        .isReachable =
+            [this](const std::string &replica) {
+                return this->isReachable(replica);
+            },
+    };
 }
 
 bool ReplicaTask::Private::isReachable(const std::string &replica) const
@@ -832,28 +722,6 @@
     return heard != this->replicaHeardMs.end() && this->now() - heard->second <= silence;
 }
 
-bool ReplicaTask::Private::isRedundant() const
-{
-    std::size_t whole = 0;
-    for (const Wire::Member &member : this->raft->membership().members()) {
-        if (member.learner()) {
-            continue;
-        }
-        if (member.replica() == this->store->replica()) {
-            ++whole;
-            continue;
-        }
-        const auto progress = this->raft->progress().find(member.replica());
-        const bool hasAll
-            = progress != this->raft->progress().end() && progress->second.match >= this->raft->log().membershipIndex() && !progress->second.probing;
-        if (!hasAll || !this->isReachable(member.replica())) {
-            return false;
-        }
-        ++whole;
-    }
-    return whole >= this->settings.seeds.size();
-}
-
 // ---- processes ----
 
 void ReplicaTask::Private::takeHeartbeat(const PeerId &peer, const Wire::Heartbeat &heartbeat)
@@ -863,7 +731,7 @@
     process.revision = heartbeat.revision();
     process.directoryNumber = heartbeat.directory_number();
     const bool outdated = process.revision < this->machine.configuration().revision() || process.leader != this->leaderAddress()
-        || process.directoryNumber != this->directory.number(this->now());
+        || process.directoryNumber != this->directory.number();
     if (outdated || heartbeat.has_digest()) {
         this->sendUpdate(peer, process, heartbeat.has_digest());
     }
@@ -877,14 +745,14 @@
         *update->mutable_configuration() = this->machine.configuration();
         process.revision = this->machine.configuration().revision();
     }
-    const std::uint64_t number = this->directory.number(this->now());
+    const std::uint64_t number = this->directory.number();
     // Right after its start a replica has not heard all processes yet.
     const bool settled = this->now() - this->startedMs > 2 * static_cast<std::uint64_t>(this->settings.timing.directoryHeartbeat.count());
     if (process.directoryNumber != number && settled) {
         update->set_directory_changed(true);
         update->set_directory_number(number);
-        for (Wire::EndpointStatus &endpoint : this->directory.endpoints(this->now())) {
-            update->add_endpoints()->Swap(&endpoint);
+        for (const Wire::EndpointStatus &endpoint : this->directory.endpoints()) {
+            *update->add_endpoints() = endpoint;
         }
         *update->mutable_members() = this->raft->membership().members();
         process.directoryNumber = number;
@@ -923,7 +791,7 @@
     if (this->raft->role() != RaftRole::Leader || this->stopping) {
         Wire::Envelope message = this->links->envelope();
         *message.mutable_change_members() = request;
-        if (request.forwarded() || !this->forward(peer, std::move(message), request.call())) {
+        if (request.forwarded() || !this->forwarded->forward(peer, std::move(message), this->leaderAddress(), this->now())) {
             refuse(detail::noLeader());
         }
         return;
@@ -1066,10 +934,9 @@
 {
     const std::uint64_t nowMs = this->now();
     this->directory.expire(nowMs);
-    this->dropForwarded([nowMs](const detail::ForwardedCall &call) {
-        return nowMs >= call.deadlineMs;
-    });
-    if (this->raft->role() != RaftRole::Leader || this->raft->commitIndex() != this->appliedIndex) {
+    this->forwarded->expire(nowMs);
+    // A leader acts on the state only once it has applied an entry of its own term, and with it all earlier ones.
+    if (this->raft->role() != RaftRole::Leader || this->appliedTerm != this->raft->term()) {
         return;
     }
     this->watchEndpoints();
