--- a/test/operator.cpp
+++ b/test/operator.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <random>
 #include <sstream>
 
@@ -69,6 +70,8 @@
     std::uint64_t index = applyChanges(this->machine, startingChanges());
     bool loseAnswers = false;
     bool away = false;
+    /** What a read sees that is overtaken by another operator's change before the proposal arrives. */
+    std::optional<Wire::Configuration> overtakenRead;
     Wire::ClusterStatus status;
     std::vector<Wire::ChangeMembers> memberChanges;
 
@@ -134,7 +137,7 @@
             const auto days = this->machine.ledger(query.ledger().organisation(), query.ledger().day());
             reply.mutable_ledger()->Assign(days.begin(), days.end());
         } else {
-            *reply.mutable_configuration() = this->machine.configuration();
+            *reply.mutable_configuration() = this->overtakenRead.value_or(this->machine.configuration());
         }
         return reply;
     }
@@ -261,7 +264,9 @@
 {
     BOOST_TEST(this->call("NoSuchMethod", "{}").status == 404U);
     BOOST_TEST(this->call("PutModel", "{").status == 400U);
-    BOOST_TEST(this->call("PutModel", "{\"commandId\":\"\xff\"}").status == 400U);
+    const RecordingReply noText = this->call("PutModel", "{\"commandId\":\"\xff\"}");
+    BOOST_TEST(noText.status == 400U);
+    BOOST_TEST(debugOf(noText, "message") == "the body is no valid JSON in UTF-8");
     BOOST_TEST(this->call("PutModel", R"({"modle":{}})").body.find("modle") != std::string::npos);
     HttpRequest request{.method = "GET", .path = "/apricothead.v1.Operator/GetStatus", .headers = {{"authorization", "Bearer " + FullToken}}};
     BOOST_TEST(this->send(request).status == 405U);
@@ -300,6 +305,18 @@
     BOOST_TEST(this->revision() == before + 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(changeIsNeverMadeFromAnOlderRead, Fixture)
+{
+    this->group.overtakenRead = this->group.machine.configuration();
+    const Wire::Configuration read = *this->group.overtakenRead;
+    BOOST_TEST(this->change("SetLimits", "first", {{"organisation", "mulgrave"}, {"limits", {{"weight", 7}}}}).status == 200U);
+    // The expected revision is right, but the read came before it: made from that read, the change would undo the limits.
+    const RecordingReply late = this->change("RemoveAllowance", "second", {{"organisation", "mulgrave"}, {"model", "large"}});
+    BOOST_TEST(late.status == 409U);
+    BOOST_TEST(findOrganisation(this->group.machine.configuration(), "mulgrave")->limits().weight() == 7U);
+    BOOST_TEST(this->revision() == read.revision() + 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(resentCommandGetsTheFirstAnswer, Fixture)
 {
     const std::string drain = R"({"commandId":"a","endpoint":"endpoint-0","expectedRevision":)" + std::to_string(this->revision()) + "}";
