--- a/Apricothead/src/Protocol/Settings.h
+++ b/Apricothead/src/Protocol/Settings.h
@@ -66,6 +66,9 @@
     std::chrono::seconds idleTimeout{30};
     std::chrono::milliseconds keepAlive{5000};
     std::chrono::milliseconds requestDeadline{120000};
+    /** Longest wait for a free place at an endpoint; a request that can't start in time is refused as not run. */
+    std::chrono::milliseconds interactiveWait{5000};
+    std::chrono::milliseconds draftWait{30000};
 
     bool operator==(const EntrySettings &) const = default;
 };
@@ -89,6 +92,8 @@
     std::string id;
     /** Where entries connect. */
     std::string address;
+    /** Where this process listens when that differs, for instance behind address translation; empty: on \c address. */
+    std::string listenAddress;
     /** Base URL of the engine or plain service. */
     std::string engineUrl;
     /** True for a model engine, false for a plain service. */
@@ -111,6 +116,8 @@
  */
 struct ReplicaSettings {
     std::string address;
+    /** Where this process listens when that differs; empty: on \c address. */
+    std::string listenAddress;
     std::string dataFolder;
     bool groupCommit = true;
     std::uint64_t snapshotEvery = 10000;
@@ -139,4 +146,11 @@
     bool operator==(const Settings &) const = default;
 };
 
+/** \returns where a role listens whose settings name an address for others and perhaps another one to listen on */
+template <class RoleSettings>
+const std::string &listeningAddress(const RoleSettings &settings)
+{
+    return settings.listenAddress.empty() ? settings.address : settings.listenAddress;
+}
+
 } // namespace Apricothead
