--- a/Apricothead/src/Coordination/Report.cpp
+++ b/Apricothead/src/Coordination/Report.cpp
@@ -80,7 +80,7 @@
         }
     }
     if (!status.redundant()) {
-        hands.emplace_back("replicas are not redundant: replace the lost one");
+        hands.emplace_back("replicas are not redundant: add or replace one");
     }
 }
 
