--- a/Apricothead/src/Coordination/EvidenceBook.cpp
+++ b/Apricothead/src/Coordination/EvidenceBook.cpp
@@ -20,6 +20,18 @@
     span.lowRated.answers += counts.rated();
 }
 
+void addGrowth(EvidenceSpan &totals, const Wire::VersionEvidence &former, const Wire::VersionEvidence &latter)
+{
+    EvidenceSpan before;
+    EvidenceSpan after;
+    add(before, former);
+    add(after, latter);
+    totals.failed.seen += after.failed.seen - before.failed.seen;
+    totals.failed.answers += after.failed.answers - before.failed.answers;
+    totals.lowRated.seen += after.lowRated.seen - before.lowRated.seen;
+    totals.lowRated.answers += after.lowRated.answers - before.lowRated.answers;
+}
+
 void add(IndicatorCounts &sum, const IndicatorCounts &counts)
 {
     sum.seen += counts.seen;
@@ -80,6 +92,9 @@
 void EvidenceBook::noteEnded(const std::string &model, const std::string &version, bool failed, double firstTokenMs, bool awaitsRating, std::int64_t nowMs)
 {
     Wire::VersionEvidence &span = this->ownSpan(version, nowMs);
+    IndicatorCounts &total = this->books[version].totals.failed;
+    total.answers += 1;
+    total.seen += failed ? 1 : 0;
     span.set_answers(span.answers() + 1);
     span.set_failed(span.failed() + (failed ? 1 : 0));
     if (firstTokenMs > 0) {
@@ -103,9 +118,13 @@
     if (!rating) {
         return;
     }
+    const bool low = *rating < this->options.lowRating;
+    IndicatorCounts &total = this->books[version].totals.lowRated;
+    total.answers += 1;
+    total.seen += low ? 1 : 0;
     Wire::VersionEvidence &span = this->ownSpan(version, nowMs);
     span.set_rated(span.rated() + 1);
-    span.set_low_rated(span.low_rated() + (*rating < this->options.lowRating ? 1 : 0));
+    span.set_low_rated(span.low_rated() + (low ? 1 : 0));
 }
 
 std::vector<Wire::VersionEvidence> EvidenceBook::digest(std::int64_t nowMs) const
@@ -134,6 +153,7 @@
         Wire::VersionEvidence &known = book.others[span.span_start_ms()][entry];
         // Counts only grow, so an older digest of the same span changes nothing.
         if (span.answers() + span.rated() >= known.answers() + known.rated()) {
+            addGrowth(book.totals, known, span);
             known = span;
         }
         book.othersOpen[entry] = {.open = span.open(), .heardMs = nowMs};
@@ -166,6 +186,12 @@
     return spans;
 }
 
+EvidenceSpan EvidenceBook::totals(const std::string &version) const
+{
+    const auto found = this->books.find(version);
+    return found == this->books.end() ? EvidenceSpan{} : found->second.totals;
+}
+
 unsigned EvidenceBook::openAnswers(const std::string &version, std::int64_t nowMs) const
 {
     const auto found = this->books.find(version);
--- a/Apricothead/src/Coordination/EvidenceBook.h
+++ b/Apricothead/src/Coordination/EvidenceBook.h
@@ -80,6 +80,9 @@
     /** \returns what is known of \a version, oldest first */
     std::vector<EvidenceSpan> spans(const std::string &version) const;
 
+    /** \returns failures and ratings of \a version, also those in spans that are no longer kept */
+    EvidenceSpan totals(const std::string &version) const;
+
     /** \returns answers under way or awaiting their rating, at all entries */
     unsigned openAnswers(const std::string &version, std::int64_t nowMs) const;
     unsigned openHere(const std::string &version) const;
@@ -96,6 +99,7 @@
         std::map<std::int64_t, Wire::VersionEvidence> own;
         std::map<std::int64_t, std::map<std::string, Wire::VersionEvidence>> others;
         std::map<std::string, PeerOpen> othersOpen;
+        EvidenceSpan totals;
         unsigned open = 0;
     };
 
--- a/Apricothead/src/Coordination/RolloutController.cpp
+++ b/Apricothead/src/Coordination/RolloutController.cpp
@@ -34,9 +34,17 @@
     return command;
 }
 
-std::int64_t startOfRollout(const std::vector<EvidenceSpan> &spans)
+IndicatorCounts earlier(const IndicatorCounts &all, const IndicatorCounts &window, const IndicatorCounts &former)
 {
-    return spans.empty() ? 0 : spans.front().startMs;
+    return {.seen = all.seen - window.seen + former.seen, .answers = all.answers - window.answers + former.answers};
+}
+
+/** \returns what a version showed before \a window, together with what the former version showed */
+EvidenceSpan earlier(const EvidenceSpan &all, const EvidenceSpan &window, const EvidenceSpan &former)
+{
+    return {.failed = earlier(all.failed, window.failed, former.failed),
+            .late = earlier(all.late, window.late, former.late),
+            .lowRated = earlier(all.lowRated, window.lowRated, former.lowRated)};
 }
 
 } // namespace
@@ -63,37 +71,58 @@
 RolloutController::RolloutController(RolloutOptions bounds) : options(std::move(bounds))
 { }
 
-RolloutController::Judgement RolloutController::judge(const Wire::Rollout &rollout, const EvidenceBook &book, bool watchOnly) const
+RolloutController::Judgement RolloutController::judgeRollout(const Wire::Rollout &rollout, const EvidenceBook &book) const
 {
     const std::vector<EvidenceSpan> spans = book.spans(rollout.to_version());
     const std::vector<EvidenceSpan> former = book.spans(rollout.from_version());
-    const std::int64_t start = startOfRollout(spans);
     Judgement judgement;
-    judgement.totals = sumOfSpans(spans, start);
-    const EvidenceSpan past = sumOfSpans(former, 0);
-    const auto usual = [&](const IndicatorCounts &meanwhile, const IndicatorCounts &all, double assumed) {
-        const double share = (all.seen + assumed * this->options.priorAnswers) / (all.answers + this->options.priorAnswers);
-        return usualShare(meanwhile, share, this->options.priorAnswers);
-    };
-    const auto evidenceFrom = [&](std::int64_t fromMs) {
-        // What the former version showed meanwhile tells a bad version from a bad hour; its longer past is the prior.
-        const EvidenceSpan meanwhile = sumOfSpans(former, fromMs);
-        judgement.usualFailed = usual(meanwhile.failed, past.failed, this->options.usualFailed);
-        judgement.usualLate = usual(meanwhile.late, past.late, this->options.usualLate);
-        judgement.usualLowRated = usual(meanwhile.lowRated, past.lowRated, this->options.usualLowRated);
+    judgement.totals = sumOfSpans(spans, 0);
+    // What the former version showed meanwhile tells a bad version from a bad hour; its longer past is the prior.
+    const EvidenceSpan meanwhile = sumOfSpans(former, spans.empty() ? 0 : spans.front().startMs);
+    this->setUsual(judgement, meanwhile, sumOfSpans(former, 0));
+    judgement.late = logEvidence(judgement.totals.late, judgement.usualLate);
+    judgement.bad
+        = logEvidence(judgement.totals.failed, judgement.usualFailed) + logEvidence(judgement.totals.lowRated, judgement.usualLowRated) + judgement.late;
+    return judgement;
+}
+
+RolloutController::Judgement RolloutController::judgeWatched(const Wire::Rollout &rollout, const EvidenceBook &book) const
+{
+    const std::vector<EvidenceSpan> spans = book.spans(rollout.to_version());
+    const std::vector<EvidenceSpan> former = book.spans(rollout.from_version());
+    const EvidenceSpan all = sumOfSpans(spans, 0);
+    const EvidenceSpan formerAll = sumOfSpans(former, 0);
+    Judgement worst;
+    worst.totals = all;
+    this->setUsual(worst, {}, formerAll);
+    // A version may turn bad at any time: the windows that end now are looked at, each twice as long as the one before, against
+    // what this version and the former one showed earlier.
+    for (std::size_t length = 1; length <= std::max<std::size_t>(1, spans.size() / 2) && length <= spans.size(); length *= 2) {
+        const std::int64_t fromMs = spans[spans.size() - length].startMs;
         const EvidenceSpan seen = sumOfSpans(spans, fromMs);
-        return logEvidence(seen.failed, judgement.usualFailed) + logEvidence(seen.late, judgement.usualLate)
-            + logEvidence(seen.lowRated, judgement.usualLowRated);
-    };
-    judgement.bad = evidenceFrom(start);
-    if (!watchOnly) {
-        return judgement;
-    }
-    // A version may turn bad at any time: the windows that end now are looked at, each twice as long as the one before.
-    for (std::size_t length = 1; length < spans.size(); length *= 2) {
-        judgement.bad = std::max(judgement.bad, evidenceFrom(spans[spans.size() - length].startMs));
+        Judgement judgement;
+        judgement.totals = seen;
+        this->setUsual(judgement, sumOfSpans(former, fromMs), earlier(all, seen, formerAll));
+        judgement.bad = logEvidence(seen.failed, judgement.usualFailed) + logEvidence(seen.lowRated, judgement.usualLowRated);
+        judgement.late = logEvidence(seen.late, judgement.usualLate);
+        const double late = std::max(worst.late, judgement.late);
+        if (judgement.bad > worst.bad) {
+            worst = judgement;
+        }
+        worst.late = late;
     }
-    return judgement;
+    return worst;
+}
+
+void RolloutController::setUsual(Judgement &judgement, const EvidenceSpan &meanwhile, const EvidenceSpan &past) const
+{
+    const auto usual = [this](const IndicatorCounts &now, const IndicatorCounts &before, double assumed) {
+        const double share = usualShare(before, assumed, this->options.priorAnswers);
+        return std::max(share, usualShare(now, share, this->options.priorAnswers));
+    };
+    judgement.usualFailed = usual(meanwhile.failed, past.failed, this->options.usualFailed);
+    judgement.usualLate = usual(meanwhile.late, past.late, this->options.usualLate);
+    judgement.usualLowRated = usual(meanwhile.lowRated, past.lowRated, this->options.usualLowRated);
 }
 
 bool RolloutController::speaksAgainst(const Judgement &judgement, double tolerance) const
@@ -169,7 +198,7 @@
         halt.command.mutable_change()->mutable_set_rollout()->set_evidence("version withdrawn");
         return halt;
     }
-    const Judgement judgement = this->judge(rollout, book, false);
+    const Judgement judgement = this->judgeRollout(rollout, book);
     if (judgement.bad >= this->options.haltEvidence) {
         return this->withdrawal(configuration, rollout, judgement);
     }
@@ -220,9 +249,15 @@
         if (rollout.state() != Wire::ROLLOUT_STATE_DONE || !isActive(configuration, rollout.to_version())) {
             continue;
         }
-        const Judgement judgement = this->judge(rollout, book, true);
+        const Judgement judgement = this->judgeWatched(rollout, book);
         if (judgement.bad >= this->options.watchEvidence) {
             decisions.push_back(this->withdrawal(configuration, rollout, judgement));
+        } else if (judgement.late >= this->options.watchEvidence) {
+            decisions.push_back({.action = RolloutAction::Alarm,
+                                 .model = rollout.model(),
+                                 .version = rollout.to_version(),
+                                 .reason = "late-after-rollout",
+                                 .evidence = evidenceLine(judgement)});
         }
     }
     return decisions;
@@ -240,7 +275,7 @@
     if (rollout == configuration.rollouts().end()) {
         return true;
     }
-    const EvidenceSpan totals = sumOfSpans(book.spans(version), 0);
+    const EvidenceSpan totals = book.totals(version);
     const double ended = totals.lowRated.answers > 0 ? std::min(totals.failed.answers, totals.lowRated.answers) : totals.failed.answers;
     const double cap = this->options.openAnswers + std::floor(ended / std::max(1U, this->options.endedPerOpenAnswer));
     // Others' open answers are known late, so each entry also keeps to its own part of the cap.
--- a/Apricothead/src/Coordination/RolloutController.h
+++ b/Apricothead/src/Coordination/RolloutController.h
@@ -65,7 +65,8 @@
     std::string model;
     std::string version;
     unsigned sharePermille = 0;
-    /** \c bad-answers, \c evidence-good, \c evidence-awaited, \c step-too-young, \c version-withdrawn, \c nothing-to-go-back-to. */
+    /** \c bad-answers, \c evidence-good, \c evidence-awaited, \c step-too-young, \c version-withdrawn, \c nothing-to-go-back-to, or \c late-after-rollout:
+     * without another version beside it, lateness may as well be load, so nothing is withdrawn for it. */
     std::string reason;
     /** One line for the operator. */
     std::string evidence;
@@ -98,6 +99,8 @@
     struct Judgement {
         /** Logarithm of the evidence that the version is worse than the former one. */
         double bad = 0;
+        /** The part of it from late first tokens; after a roll-out it is no part of it. */
+        double late = 0;
         EvidenceSpan totals;
         double usualFailed = 0;
         double usualLate = 0;
@@ -111,7 +114,9 @@
     };
 
     std::int64_t seenSince(const Wire::Rollout &rollout, std::int64_t nowMs);
-    Judgement judge(const Wire::Rollout &rollout, const EvidenceBook &book, bool watchOnly) const;
+    Judgement judgeRollout(const Wire::Rollout &rollout, const EvidenceBook &book) const;
+    Judgement judgeWatched(const Wire::Rollout &rollout, const EvidenceBook &book) const;
+    void setUsual(Judgement &judgement, const EvidenceSpan &meanwhile, const EvidenceSpan &past) const;
     RolloutDecision decideRunning(const Wire::Configuration &configuration, const Wire::Rollout &rollout, const EvidenceBook &book, std::int64_t nowMs);
     RolloutDecision withdrawal(const Wire::Configuration &configuration, const Wire::Rollout &rollout, const Judgement &judgement) const;
     RolloutDecision setRollout(const Wire::Configuration &configuration,
