--- a/Apricothead/src/Coordination/DispatchWindow.cpp
+++ b/Apricothead/src/Coordination/DispatchWindow.cpp
@@ -5,13 +5,17 @@
 
 namespace Apricothead {
 
-unsigned dispatchWindow(const RoutingTable &table, const std::string &model, const std::string &version, double part, DispatchWindowOptions options)
+DispatchWindow dispatchWindow(const RoutingTable &table, const std::string &model, const std::string &version, double part, DispatchWindowOptions options)
 {
     const unsigned capacity = table.usableCapacity(model, version);
     if (capacity == 0) {
-        return 0;
+        return {};
     }
-    return static_cast<unsigned>(std::max(1.0, std::ceil(capacity * part * options.fill)));
+    const double endpoints = static_cast<double>(table.usableCount(model, version));
+    const auto atLeastOne = [](double value) {
+        return static_cast<unsigned>(std::max(1.0, std::ceil(value)));
+    };
+    return {.running = atLeastOne(capacity * part * options.fill), .awaiting = atLeastOne(endpoints * part * options.awaitingPerEndpoint)};
 }
 
 } // namespace Apricothead
--- a/Apricothead/src/Coordination/DispatchWindow.h
+++ b/Apricothead/src/Coordination/DispatchWindow.h
@@ -11,9 +11,22 @@
 struct DispatchWindowOptions {
     /** Runs under way at most, as a part of the usable capacity. Above 1 the engines' own queues never run dry. */
     double fill = 1.1;
+    /** Runs that wait for their first token at most, for each usable endpoint. More only wait there instead of in the fair queue. */
+    double awaitingPerEndpoint = 1.5;
 };
 
-/** \returns how many runs an entry may have under way at the endpoints of \a version: its part of their capacity, at least one */
-unsigned dispatchWindow(const RoutingTable &table, const std::string &model, const std::string &version, double part, DispatchWindowOptions options = {});
+/** \class DispatchWindow
+ * \ingroup Coordination_Module
+ * \brief How many runs an entry may have under way, and how many of them may wait for their first token.
+ */
+struct DispatchWindow {
+    unsigned running = 0;
+    unsigned awaiting = 0;
+
+    bool operator==(const DispatchWindow &) const = default;
+};
+
+/** \returns the entry's \a part, 0 to 1, of what the endpoints of \a version take; at least one of each, none without a usable endpoint */
+DispatchWindow dispatchWindow(const RoutingTable &table, const std::string &model, const std::string &version, double part, DispatchWindowOptions options = {});
 
 } // namespace Apricothead
--- a/test/limits.cpp
+++ b/test/limits.cpp
@@ -221,8 +221,9 @@
         table.announce(id, "z1", 1, {{"chat", "v1"}});
         table.change(id)->capacity = 10;
     }
-    BOOST_TEST(dispatchWindow(table, "chat", "v1", 0.5, {.fill = 1.0}) == 15U);
+    BOOST_TEST(dispatchWindow(table, "chat", "v1", 0.5, {.fill = 1.0}).running == 15U);
+    BOOST_TEST(dispatchWindow(table, "chat", "v1", 0.5, {.awaitingPerEndpoint = 2}).awaiting == 3U);
     table.change("a")->connected = false;
-    BOOST_TEST(dispatchWindow(table, "chat", "v1", 0.5, {.fill = 1.0}) == 10U);
-    BOOST_TEST(dispatchWindow(table, "chat", "v2", 0.5) == 0U);
+    BOOST_TEST(dispatchWindow(table, "chat", "v1", 0.5, {.fill = 1.0}).running == 10U);
+    BOOST_TEST(dispatchWindow(table, "chat", "v2", 0.5).running == 0U);
 }
