The entry role starts the operator service when its settings name an address

Cause: the operator service was in the library, but no process listened for operators. Change: EntryTask starts it beside the callers' server and stops listening on leaving.

--- a/Apricothead/src/Coordination/EntryTask.cpp
+++ b/Apricothead/src/Coordination/EntryTask.cpp
@@ -3,6 +3,7 @@
 #include "AdmissionControl.h"
 #include "CallerApi.h"
 #include "EntryContext.h"
+#include "OperatorService.h"
 #include "Rater.h"
 #include "RequestRun.h"
 #include "RunErrors.h"
@@ -210,6 +211,7 @@
             return HttpHeaders{{"X-Request-Id", randomHex(DrawnIdBytes)}, {"X-Verdict", "not-run"}};
         };
         this->server = std::make_unique<HttpServer>(this->loop, std::move(options));
+        this->operators = OperatorService::start(this->loop, entry, operatorBackend(this->replicas));
         this->tick.startRepeating(TickInterval);
         logLine(LogLevel::Info, "entry-started", {{"callers", this->server->boundAddress()}});
     }
@@ -291,6 +293,9 @@
         if (this->server) {
             this->server->stopListening();
         }
+        if (this->operators) {
+            this->operators->stopListening();
+        }
         this->shutdown.startOnce(this->settings.timing.shutdown);
     }
 
@@ -349,6 +354,7 @@
     std::uint64_t nextRequest = 0;
     std::uint64_t decidedMs = 0;
     std::unique_ptr<HttpServer> server;
+    std::unique_ptr<OperatorService> operators;
     std::function<void()> stopped;
     bool isCutting = false;
 };
