--- a/test/kills.cpp
+++ b/test/kills.cpp
@@ -159,6 +159,29 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(frozenEndpointRunsNothingWithdrawn, Fixture)
+{
+    this->cluster.process("yard").signal(SIGSTOP);
+    HttpAnswer answer;
+    std::thread caller([&] {
+        answer = this->cluster.order(1, "late");
+    });
+    BOOST_TEST(waitUntil([&] {
+        return this->record("late").state() == Wire::RECORD_STATE_ADMITTED;
+    }));
+    Wire::ConfigurationChange change;
+    change.mutable_withdraw_version()->set_version("yard-1");
+    change.mutable_withdraw_version()->set_reason("wrong prices");
+    BOOST_TEST(this->cluster.administrator().change(change) == "");
+    // Longer than an admission is valid.
+    std::this_thread::sleep_for(std::chrono::milliseconds(4500));
+    this->cluster.process("yard").signal(SIGCONT);
+    caller.join();
+    BOOST_TEST(answer.status >= 400);
+    BOOST_TEST(answer.header("x-verdict") == "not-run");
+    BOOST_TEST(this->cluster.orders("late") == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(frozenEntryAdmitsNothingWithdrawn, Fixture)
 {
     this->cluster.process("entry-1").signal(SIGSTOP);
