--- a/Apricothead/src/Coordination/EntryTask.cpp
+++ b/Apricothead/src/Coordination/EntryTask.cpp
@@ -334,6 +334,9 @@
         if (this->server) {
             this->server->stopListening();
         }
+        if (this->operators) {
+            this->operators->stopListening();
+        }
         this->shutdown.startOnce(this->settings.timing.shutdown);
     }
 
@@ -351,9 +354,6 @@
         logLine(LogLevel::Info, "entry-stopped");
         this->shutdown.stop();
         this->tick.stop();
-        if (this->operators) {
-            this->operators->stopListening();
-        }
         this->loop.post(std::exchange(this->stopped, {}));
     }
 
