--- a/Apricothead/src/Coordination/ReplicaClient.cpp
+++ b/Apricothead/src/Coordination/ReplicaClient.cpp
@@ -277,6 +277,10 @@
                 source = seed;
             }
         }
+        // A replica that has sent no list yet says nothing of the endpoints.
+        if (!this->directories.contains(source)) {
+            return;
+        }
         const std::vector<Wire::EndpointStatus> &listed = this->directories[source];
         if (sameEndpoints(listed, this->endpoints)) {
             return;
