--- a/Apricothead/src/Coordination/RequestRun.cpp
+++ b/Apricothead/src/Coordination/RequestRun.cpp
@@ -103,7 +103,7 @@
 
 CascadeDecision RequestRun::decideCascade()
 {
-    const CascadeDecision decision = decideCascadeStep(this->cascade, this->context.cascades, this->context.draw());
+    CascadeDecision decision = decideCascadeStep(this->cascade, this->context.cascades, this->context.draw());
     constexpr double NotRated = -1;
     const bool isRated = this->cascade.answered && this->cascade.ratingState == RatingState::Arrived;
     logLine(LogLevel::Info,
