--- a/Apricothead/src/Coordination/DispatchWindow.h
+++ b/Apricothead/src/Coordination/DispatchWindow.h
@@ -12,7 +12,7 @@
     /** Runs under way at most, as a part of the usable capacity. Above 1 the engines' own queues never run dry. */
     double fill = 1.1;
     /** Runs that wait for their first token at most, for each usable endpoint. More only wait there instead of in the fair queue. */
-    double awaitingPerEndpoint = 1.5;
+    double awaitingPerEndpoint = 2;
 };
 
 /** \class DispatchWindow
--- a/bench/cascade.cpp
+++ b/bench/cascade.cpp
@@ -153,7 +153,7 @@
 
     CascadeDecision decide(const CascadeView &view)
     {
-        const CascadeDecision deliver{.action = CascadeAction::Deliver};
+        CascadeDecision deliver{.action = CascadeAction::Deliver};
         switch (this->policy) {
         case Policy::AlwaysCheap:
             return view.answered ? deliver : CascadeDecision{.action = CascadeAction::Run, .tier = 0};
--- a/test/rollout.cpp
+++ b/test/rollout.cpp
@@ -210,6 +210,29 @@
     BOOST_TEST(cluster.configuration().models(0).stable_version() == "v1");
 }
 
+BOOST_AUTO_TEST_CASE(aVersionThatStaysAsItWasIsNotWithdrawnForAShortSampleOfTheFormerOne)
+{
+    Cluster cluster;
+    EvidenceBook book;
+    RolloutController controller;
+    const auto rate = [&book](const std::string &version, unsigned count, unsigned low, std::int64_t now) {
+        for (unsigned i = 0; i < count; ++i) {
+            book.noteStarted(version, now);
+            book.noteEnded("chat", version, false, 100, true, now);
+            book.noteRated(version, i < low ? 0.1 : 0.9, now);
+        }
+    };
+    rate("v1", 200, 2, StartMs);
+    Wire::ConfigurationChange done;
+    done.mutable_set_rollout()->set_model("chat");
+    done.mutable_set_rollout()->set_state(Wire::ROLLOUT_STATE_DONE);
+    cluster.change(done);
+    for (int i = 1; i <= 40; ++i) {
+        rate("v2", 50, 2, StartMs + 5000 * i);
+        BOOST_TEST(controller.decide(cluster.configuration(), book, StartMs + 5000 * i).empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(withNothingToGoBackToAnOperatorIsCalled)
 {
     Cluster cluster;
