--- a/Apricothead/src/Coordination/EndpointPool.cpp
+++ b/Apricothead/src/Coordination/EndpointPool.cpp
@@ -152,6 +152,11 @@
     return decision;
 }
 
+ModelLoad EndpointPool::loadOf(const std::string &model) const
+{
+    return this->tracker.table().loadOf(model);
+}
+
 RunTicket EndpointPool::started(const RoutingDecision &decision, const std::vector<PrefixBlock> &chain)
 {
     const double now = this->nowMs();
@@ -196,6 +201,11 @@
     return found == this->endpoints.end() ? 0 : found->second.gateTimeMs;
 }
 
+std::size_t EndpointPool::usableCount(const std::string &model, const std::string &version) const
+{
+    return this->tracker.table().usableCount(model, version);
+}
+
 void EndpointPool::tick()
 {
     this->links.tick();
--- a/Apricothead/src/Coordination/EntryTask.cpp
+++ b/Apricothead/src/Coordination/EntryTask.cpp
@@ -1,7 +1,9 @@
 #include "EntryTask.h"
 
+#include "AdmissionControl.h"
 #include "CallerApi.h"
 #include "EntryContext.h"
+#include "OperatorService.h"
 #include "Rater.h"
 #include "RequestRun.h"
 #include "RunErrors.h"
@@ -17,6 +19,7 @@
 #include "../Transport/Timer.h"
 
 #include <map>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -72,6 +75,7 @@
                         [this](Wire::Command command, std::function<void(const ProposeOutcome &)> done) {
                             this->replicas.propose(std::move(command), this->settings.timing.proposal, std::move(done));
                         }})
+        , admission(this->admissionOptions())
         , replicas(eventLoop, this->replicaOptions())
         , context(this->makeContext())
         , api(this->apiOptions())
@@ -120,6 +124,7 @@
         };
         options.onConfiguration = [this](const Wire::Configuration &configuration) {
             this->pool.setConfiguration(configuration);
+            this->admission.configure(configuration);
             logLine(LogLevel::Info, "configuration-in-force", {{"revision", configuration.revision()}});
         };
         options.onDirectory = [this](const std::vector<Wire::EndpointStatus> &endpoints) {
@@ -128,6 +133,22 @@
         };
         options.onDigests = [this](const std::vector<Wire::EntryDigest> &digests) {
             this->rollouts.takeDigests(digests, wallClockMs());
+            this->admission.takeDigests(digests);
+        };
+        return options;
+    }
+
+    AdmissionControlOptions admissionOptions()
+    {
+        AdmissionControlOptions options;
+        options.entry = this->settings.process;
+        options.interactiveWait = this->settings.entry->interactiveWait;
+        options.draftWait = this->settings.entry->draftWait;
+        options.loadOf = [this](const std::string &model) {
+            return this->pool.loadOf(model);
+        };
+        options.nowMs = [this] {
+            return static_cast<double>(this->loop.nowMs());
         };
         return options;
     }
@@ -142,6 +163,11 @@
                             .sessions = this->sessions,
                             .metrics = this->metrics,
                             .rollouts = this->rollouts,
+                            .cascades = this->cascades,
+                            .draw =
+                                [engine = std::mt19937_64(std::random_device()())]() mutable {
+                                    return std::uniform_real_distribution<double>(0, 1)(engine);
+                                },
                             .configuration = [this]() -> const Wire::Configuration & {
                                 return this->replicas.configuration();
                             },
@@ -191,22 +217,69 @@
             return HttpHeaders{{"X-Request-Id", randomHex(DrawnIdBytes)}, {"X-Verdict", "not-run"}};
         };
         this->server = std::make_unique<HttpServer>(this->loop, std::move(options));
+        this->operators = OperatorService::start(this->loop, entry, this->operatorBackendOfEntry());
         this->tick.startRepeating(TickInterval);
         logLine(LogLevel::Info, "entry-started", {{"callers", this->server->boundAddress()}});
     }
 
+    OperatorBackend operatorBackendOfEntry()
+    {
+        OperatorBackend backend = operatorBackend(this->replicas);
+        backend.metrics = [this] {
+            return metricsPage(this->metrics.read());
+        };
+        backend.figures = [this] {
+            return this->figures();
+        };
+        return backend;
+    }
+
+    /** \returns what this entry measured by organisation */
+    std::vector<OrganisationFigures> figures() const
+    {
+        std::map<std::string, OrganisationFigures> byOrganisation;
+        for (const MetricLine &line : this->metrics.read()) {
+            OrganisationFigures &organisation = byOrganisation[line.label];
+            organisation.organisation = line.label;
+            if (line.name == "organisation_first_chunk_ms" && line.statistic == "p95") {
+                organisation.firstTokenP95Ms = line.value;
+            }
+            if (line.name == "organisation_cost_micros" && line.statistic == "mean") {
+                organisation.costMicrosPerRequest = line.value;
+            }
+        }
+        std::vector<OrganisationFigures> listed;
+        for (const auto &[name, organisation] : byOrganisation) {
+            if (organisation.firstTokenP95Ms > 0 || organisation.costMicrosPerRequest > 0) {
+                listed.push_back(organisation);
+            }
+        }
+        return listed;
+    }
+
     void run(CallerRequest request, std::unique_ptr<CallerAnswer> answer)
     {
         const std::uint64_t number = this->nextRequest++;
-        const auto run = std::make_shared<RequestRun>(this->context, std::move(request), std::move(answer), [this, number] {
+        const auto run = std::make_shared<RequestRun>(this->context, std::move(request), std::move(answer), [this, number](const RequestEnd &requestEnd) {
             // Later: the request is still executing.
             this->endedRequests.push_back(number);
+            this->admission.cancel(number);
+            this->admission.finished(number, requestEnd.tokens, requestEnd.mayHaveRun);
         });
         this->requests[number] = run;
-        run->start();
+        run->wait();
+        this->admission.offer(
+            number,
+            run->asked(),
+            [run] {
+                run->start();
+            },
+            [run](const CallerError &error) {
+                run->cut(error);
+            });
     }
 
-    Wire::Heartbeat describe() const
+    Wire::Heartbeat describe()
     {
         Wire::Heartbeat heartbeat;
         heartbeat.add_roles("entry");
@@ -219,6 +292,9 @@
         for (Wire::VersionEvidence &evidence : this->rollouts.digest(wallClockMs())) {
             digest.add_evidence()->Swap(&evidence);
         }
+        for (Wire::OrganisationDemand &demand : this->admission.digest()) {
+            digest.add_demands()->Swap(&demand);
+        }
         return heartbeat;
     }
 
@@ -226,6 +302,7 @@
     {
         this->pool.tick();
         this->runs.tick();
+        this->admission.tick();
         this->decideRollouts();
         this->dropEnded();
         this->checkStopped();
@@ -257,6 +334,9 @@
         if (this->server) {
             this->server->stopListening();
         }
+        if (this->operators) {
+            this->operators->stopListening();
+        }
         this->shutdown.startOnce(this->settings.timing.shutdown);
     }
 
@@ -304,6 +384,8 @@
     RunRegistry runs;
     EndpointPool pool;
     RolloutDriver rollouts;
+    CascadeMemory cascades;
+    AdmissionControl admission;
     ReplicaClient replicas;
     EntryContext context;
     CallerApi api;
@@ -314,6 +396,7 @@
     std::uint64_t nextRequest = 0;
     std::uint64_t decidedMs = 0;
     std::unique_ptr<HttpServer> server;
+    std::unique_ptr<OperatorService> operators;
     std::function<void()> stopped;
     bool isCutting = false;
 };
--- a/Apricothead/src/Coordination/StepRun.cpp
+++ b/Apricothead/src/Coordination/StepRun.cpp
@@ -8,6 +8,8 @@
 #include "../Transport/EventLoop.h"
 #include "../Transport/Log.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -71,6 +73,7 @@
     routing.version = version.version;
     routing.promptTokens = this->request.promptTokens;
     routing.avoid = this->avoid;
+    routing.homeKey = this->homeKey();
     const RoutingDecision chosen = this->context.pool.choose(std::move(routing), this->options.prefixes, this->request.id);
     if (!chosen.endpoint.empty()) {
         this->admit(chosen);
@@ -95,6 +98,7 @@
 {
     this->phase = Phase::Admitting;
     this->decision = chosen;
+    this->admitSinceMs = this->nowMs();
     Wire::Admit admit;
     *admit.mutable_key() = this->key();
     admit.set_attempt(this->nextAttempt);
@@ -119,6 +123,7 @@
 
 void StepRun::admissionDecided(const ProposeOutcome &outcome)
 {
+    this->admittingMs += this->nowMs() - this->admitSinceMs;
     if (this->phase != Phase::Admitting) {
         return;
     }
@@ -345,6 +350,7 @@
         this->gapSinceMs = this->gapSinceMs == 0 ? this->nowMs() : this->gapSinceMs;
         return;
     }
+    this->acknowledge(done);
     const bool isWhole = done.outcome() == Wire::OUTCOME_WHOLE;
     const bool isServiceAnswer = !this->request.payload.chat() && done.outcome() == Wire::OUTCOME_FAILED && done.status() > 0;
     this->soFar = combined(this->soFar, verdictOf(done.verdict()));
@@ -365,6 +371,17 @@
     this->settle(done.outcome(), done.usage());
 }
 
+void StepRun::acknowledge(const Wire::RunDone &done)
+{
+    // An endpoint process that stops waits until the answer has been fetched.
+    Wire::Envelope message;
+    Wire::ChunkCredit &credit = *message.mutable_chunk_credit();
+    *credit.mutable_key() = done.key();
+    credit.set_attempt(done.attempt());
+    credit.set_next_chunk(done.chunks());
+    this->context.pool.send(this->record.endpoint(), std::move(message));
+}
+
 void StepRun::takeRefused(const Wire::RunRefused &refused)
 {
     const bool isNotRun = refused.verdict() == Wire::VERDICT_NOT_RUN;
@@ -708,6 +725,17 @@
     return this->soFar;
 }
 
+std::uint64_t StepRun::admissionMs() const
+{
+    return this->admittingMs;
+}
+
+std::uint64_t StepRun::homeKey() const
+{
+    const std::string &subject = this->request.session.empty() && !this->request.messages.empty() ? this->request.messages.front() : this->request.session;
+    return subject.empty() ? 0 : XXH3_64bits(subject.data(), subject.size());
+}
+
 Wire::RequestKey StepRun::key() const
 {
     Wire::RequestKey runKey;
