--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -136,7 +136,7 @@
 
 std::string Cluster::relayTo(const std::string &before, const std::string &target)
 {
-    const std::string listen = this->freeAddress();
+    std::string listen = this->freeAddress();
     const std::string control = this->freeAddress();
     const std::string name = "relay-" + before + "-" + std::to_string(this->relayControls.count(before) + 1);
     this->relayControls.emplace(before, control);
--- a/test/support/Http.cpp
+++ b/test/support/Http.cpp
@@ -62,7 +62,9 @@
     const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy(curl_easy_init(), &curl_easy_cleanup);
     curl_slist *lines = curl_slist_append(nullptr, "Expect:");
     for (const auto &[name, value] : spec.headers) {
-        lines = curl_slist_append(lines, (name + ": " + value).c_str());
+        std::string line = name;
+        line.append(": ").append(value);
+        lines = curl_slist_append(lines, line.c_str());
     }
     curl_easy_setopt(easy.get(), CURLOPT_URL, spec.url.c_str());
     curl_easy_setopt(easy.get(), CURLOPT_PROXY, "");
