--- a/Apricothead/src/Coordination/EntryTask.cpp
+++ b/Apricothead/src/Coordination/EntryTask.cpp
@@ -19,6 +19,7 @@
 #include "../Transport/Timer.h"
 
 #include <map>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -162,6 +163,11 @@
                             .sessions = this->sessions,
                             .metrics = this->metrics,
                             .rollouts = this->rollouts,
+                            .cascades = this->cascades,
+                            .draw =
+                                [engine = std::mt19937_64(std::random_device()())]() mutable {
+                                    return std::uniform_real_distribution<double>(0, 1)(engine);
+                                },
                             .configuration = [this]() -> const Wire::Configuration & {
                                 return this->replicas.configuration();
                             },
@@ -211,11 +217,46 @@
             return HttpHeaders{{"X-Request-Id", randomHex(DrawnIdBytes)}, {"X-Verdict", "not-run"}};
         };
         this->server = std::make_unique<HttpServer>(this->loop, std::move(options));
-        this->operators = OperatorService::start(this->loop, entry, operatorBackend(this->replicas));
+        this->operators = OperatorService::start(this->loop, entry, this->operatorBackendOfEntry());
         this->tick.startRepeating(TickInterval);
         logLine(LogLevel::Info, "entry-started", {{"callers", this->server->boundAddress()}});
     }
 
+    OperatorBackend operatorBackendOfEntry()
+    {
+        OperatorBackend backend = operatorBackend(this->replicas);
+        backend.metrics = [this] {
+            return metricsPage(this->metrics.read());
+        };
+        backend.figures = [this] {
+            return this->figures();
+        };
+        return backend;
+    }
+
+    /** \returns what this entry measured by organisation */
+    std::vector<OrganisationFigures> figures() const
+    {
+        std::map<std::string, OrganisationFigures> byOrganisation;
+        for (const MetricLine &line : this->metrics.read()) {
+            OrganisationFigures &organisation = byOrganisation[line.label];
+            organisation.organisation = line.label;
+            if (line.name == "organisation_first_chunk_ms" && line.statistic == "p95") {
+                organisation.firstTokenP95Ms = line.value;
+            }
+            if (line.name == "organisation_cost_micros" && line.statistic == "mean") {
+                organisation.costMicrosPerRequest = line.value;
+            }
+        }
+        std::vector<OrganisationFigures> listed;
+        for (const auto &[name, organisation] : byOrganisation) {
+            if (organisation.firstTokenP95Ms > 0 || organisation.costMicrosPerRequest > 0) {
+                listed.push_back(organisation);
+            }
+        }
+        return listed;
+    }
+
     void run(CallerRequest request, std::unique_ptr<CallerAnswer> answer)
     {
         const std::uint64_t number = this->nextRequest++;
@@ -343,6 +384,7 @@
     RunRegistry runs;
     EndpointPool pool;
     RolloutDriver rollouts;
+    CascadeMemory cascades;
     AdmissionControl admission;
     ReplicaClient replicas;
     EntryContext context;
--- a/Apricothead/src/Coordination/RequestRun.h
+++ b/Apricothead/src/Coordination/RequestRun.h
@@ -55,6 +55,7 @@
     };
 
     void planSteps();
+    CascadeDecision decideCascade();
     void startStep();
     bool isLastStep() const;
     bool isErrorAnswer() const;
@@ -85,11 +86,14 @@
     std::unique_ptr<CallerAnswer> answer;
     std::function<void(const RequestEnd &)> endedHook;
     double tokens = 0;
+    /** In millionths, by the prices that this entry knows. */
+    double cost = 0;
     Timer keepAlive;
     std::vector<PrefixBlock> prefixes;
     std::vector<std::string> models;
-    double ratingThreshold = 0;
     std::chrono::milliseconds ratingTimeout{0};
+    /** Empty tiers unless the request walks a cascade. */
+    CascadeView cascade;
     std::size_t step = 0;
     std::shared_ptr<StepRun> current;
     AnswerHead head;
