A refusal after a lost attempt no longer says not-run

Cause: an abandoned record may stand for an earlier attempt that was lost under way (may_have_run); the entry read only that the newest attempt did not run, and told the caller not-run. Change: StepRun combines the mark into its verdict, for a known record and after its own abandon. Protobuf's own errors go to the JSON log. Before: test entry, case doesNotSayNotRunAfterAnAbandonedAttemptThatFollowedALostOne, failed (not-run != may-have-run). After: 26 of 26 cases pass. Conclusion: mended.

--- a/Apricothead/src/Coordination/StepRun.cpp
+++ b/Apricothead/src/Coordination/StepRun.cpp
@@ -202,6 +202,7 @@
         this->dispatch(known, true);
         return;
     case Wire::RECORD_STATE_ABANDONED:
+        this->noteEarlierAttempt(known);
         this->nextAttempt = known.attempt() + 1;
         if (++this->refusedAdmissions < RefusedAdmissionsLimit) {
             this->choose();
@@ -215,6 +216,14 @@
     }
 }
 
+void StepRun::noteEarlierAttempt(const Wire::RequestRecord &abandoned)
+{
+    // The newest attempt did not run, but an earlier one was lost under way.
+    if (abandoned.may_have_run()) {
+        this->soFar = combined(this->soFar, Verdict::MayHaveRun);
+    }
+}
+
 void StepRun::dispatch(const Wire::RequestRecord &admitted, bool attachOnly)
 {
     this->phase = Phase::Running;
@@ -462,6 +471,7 @@
         this->takeKnown(known);
         return;
     }
+    this->noteEarlierAttempt(known);
     this->nextAttempt = known.attempt() + 1;
     this->avoid.push_back(this->record.endpoint());
     this->tryAgain(refusedRunError(reason, this->soFar));
--- a/Apricothead/src/Coordination/StepRun.h
+++ b/Apricothead/src/Coordination/StepRun.h
@@ -99,6 +99,7 @@
     void admissionDecided(const ProposeOutcome &outcome);
     void admissionRefused(const Wire::CommandResult &result);
     void takeKnown(const Wire::RequestRecord &known);
+    void noteEarlierAttempt(const Wire::RequestRecord &abandoned);
     void dispatch(const Wire::RequestRecord &admitted, bool isAttachOnly);
     void sendRun();
     void takeStarted(const Wire::RunStarted &started);
--- a/app/ServeCommand.cpp
+++ b/app/ServeCommand.cpp
@@ -172,6 +172,7 @@
         return ExitUsage;
     }
     startLog(settings.value().process, levelFromName(settings.value().logLevel));
+    logMessageErrors();
     return Server(settings.value()).run();
 }
 
--- a/test/entry.cpp
+++ b/test/entry.cpp
@@ -364,6 +364,36 @@
     BOOST_TEST(this->replica.bills("mulgrave") == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(doesNotSayNotRunAfterAnAbandonedAttemptThatFollowedALostOne, World)
+{
+    BOOST_REQUIRE(this->waitFor(this->chat(false, {{"idempotency-key", "k0"}})));
+    const auto admitted = std::find_if(this->replica.commands.begin(), this->replica.commands.end(), [](const Wire::Command &command) {
+        return command.has_admit();
+    });
+    BOOST_REQUIRE(admitted != this->replica.commands.end());
+    // Attempt 1 of k1 was lost with its entry, attempt 2 is proved not to have run.
+    Wire::Command command = *admitted;
+    command.mutable_admit()->mutable_key()->set_key("k1");
+    command.mutable_admit()->set_entry("former-entry");
+    BOOST_REQUIRE(this->replica.apply(command).has_admitted());
+    command.mutable_admit()->set_attempt(2);
+    BOOST_REQUIRE(this->replica.apply(command).has_admitted());
+    Wire::Command abandon;
+    *abandon.mutable_abandon()->mutable_key() = command.admit().key();
+    abandon.mutable_abandon()->set_attempt(2);
+    abandon.mutable_abandon()->set_proof(Wire::NOT_RUN_PROOF_REFUSED);
+    abandon.mutable_abandon()->set_endpoint(command.admit().endpoint());
+    abandon.mutable_abandon()->set_incarnation(command.admit().incarnation());
+    BOOST_REQUIRE(this->replica.apply(abandon).known().may_have_run());
+    this->onRun([](FakeEndpoint &endpoint, const AskedRun &asked) {
+        endpoint.refuse(asked, Wire::REFUSAL_REASON_FULL, Wire::VERDICT_NOT_RUN);
+    });
+    const Answer &answer = this->chat(false, {{"idempotency-key", "k1"}});
+    BOOST_REQUIRE(this->waitFor(answer));
+    BOOST_TEST(answer.status >= 500);
+    BOOST_TEST(answer.verdict() == "may-have-run");
+}
+
 BOOST_FIXTURE_TEST_CASE(refusesAKeyThatIsUsedForAnotherRequest, World)
 {
     const Answer &first = this->chat(false, {{"idempotency-key", "k1"}});
