--- a/Apricothead/src/Coordination/ChatEngine.cpp
+++ b/Apricothead/src/Coordination/ChatEngine.cpp
@@ -10,7 +10,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 constexpr unsigned FirstErrorStatus = 400;
 /** An engine that has sent its end mark but does not end the connection is waited for this long. */
@@ -31,7 +31,7 @@
             this->finish({.whole = true, .neverSent = false, .status = this->status, .error = {}});
         })
     {
-        HttpCallOptions options = runCallOptions(settings, run.payload());
+        HttpCallOptions options = detail::runCallOptions(settings, run.payload());
         const std::optional<std::string> body = streamedChatBody(run.payload().body(), run.admission().version(), run.payload().priority());
         options.body = body.value_or(run.payload().body());
         options.onHead = [this](unsigned headStatus, const HttpHeaders &headers) {
@@ -74,7 +74,7 @@
     void takeData(std::string_view bytes)
     {
         if (!this->isStream) {
-            if (this->plainBody.size() + bytes.size() <= MaxReportBytes) {
+            if (this->plainBody.size() + bytes.size() <= detail::MaxReportBytes) {
                 this->plainBody.append(bytes);
             }
             return;
@@ -111,7 +111,7 @@
 
     EngineResult judge(const HttpResult &http) const
     {
-        EngineResult result = brokenResult(http);
+        EngineResult result = detail::brokenResult(http);
         if (http.status == 0) {
             return result;
         }
@@ -214,31 +214,31 @@
     }
 }
 
-} // namespace detail
+} // namespace
 
 EngineAdapter chatEngineAdapter(EventLoop &loop, HttpClient &client, const EndpointSettings &settings)
 {
     EngineAdapter adapter;
     adapter.run = [&loop, &client, settings](const Wire::Run &run, EngineRunHooks hooks) -> std::unique_ptr<EngineRun> {
-        return std::make_unique<detail::ChatRun>(loop, client, settings, run, std::move(hooks));
+        return std::make_unique<ChatRun>(loop, client, settings, run, std::move(hooks));
     };
     adapter.probe = [&client, settings](const std::function<void(bool)> &done) {
         detail::callEngine(client, settings, {.method = "GET", .path = "/health", .body = {}}, [done](const HttpResult &http, const std::string &) {
-            done(http.whole && http.status < detail::FirstErrorStatus);
+            done(http.whole && http.status < FirstErrorStatus);
         });
     };
     adapter.readLoad = [&client, settings](const std::function<void(const EngineLoad &)> &done) {
         detail::callEngine(client, settings, {.method = "GET", .path = "/load", .body = {}}, [done](const HttpResult &http, const std::string &body) {
-            done(detail::parsedReport<EngineLoad>([&] {
-                return detail::parseLoad(http, body);
+            done(parsedReport<EngineLoad>([&] {
+                return parseLoad(http, body);
             }));
         });
     };
     adapter.readCacheEvents = [&client, settings](std::uint64_t since, const std::function<void(const CacheEvents &)> &done) {
         const std::string path = "/cache-events?since=" + std::to_string(since);
         detail::callEngine(client, settings, {.method = "GET", .path = path, .body = {}}, [since, done](const HttpResult &http, const std::string &body) {
-            done(detail::parsedReport<CacheEvents>([&] {
-                return detail::parseCacheEvents(since, http, body);
+            done(parsedReport<CacheEvents>([&] {
+                return parseCacheEvents(since, http, body);
             }));
         });
     };
@@ -252,7 +252,7 @@
         }
         detail::callEngine(
             client, settings, {.method = "POST", .path = "/orders", .body = body.dump()}, [done](const HttpResult &http, const std::string &reply) {
-                done(detail::orderError(http, reply));
+                done(orderError(http, reply));
             });
     };
     return adapter;
--- a/Apricothead/src/Coordination/EndpointGate.cpp
+++ b/Apricothead/src/Coordination/EndpointGate.cpp
@@ -3,14 +3,14 @@
 #include <algorithm>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 GateDecision refuse(Wire::RefusalReason reason, Verdict verdict)
 {
     return {.action = GateAction::Refuse, .reason = reason, .verdict = verdict};
 }
 
-} // namespace detail
+} // namespace
 
 EndpointGate::EndpointGate(EndpointGateOptions gateOptions) : options(std::move(gateOptions))
 { }
@@ -21,7 +21,7 @@
     const Wire::Admission &admission = run.admission();
     // Another incarnation may have run it: only that one could have told.
     if (admission.incarnation() != this->options.incarnation || admission.endpoint() != this->options.endpoint) {
-        return detail::refuse(Wire::REFUSAL_REASON_OTHER_INCARNATION, Verdict::MayHaveRun);
+        return refuse(Wire::REFUSAL_REASON_OTHER_INCARNATION, Verdict::MayHaveRun);
     }
     const RunId id = runId(admission.key(), admission.attempt());
     const auto known = this->records.find(id);
@@ -44,7 +44,7 @@
 {
     this->forget(nowMs);
     if (request.incarnation() != this->options.incarnation) {
-        return detail::refuse(Wire::REFUSAL_REASON_OTHER_INCARNATION, Verdict::MayHaveRun);
+        return refuse(Wire::REFUSAL_REASON_OTHER_INCARNATION, Verdict::MayHaveRun);
     }
     const RunId id = runId(request.key(), request.attempt());
     const auto known = this->records.find(id);
@@ -55,7 +55,7 @@
     if (verdict == Verdict::NotRun) {
         this->bury(id, nowMs, nowMs);
     }
-    return detail::refuse(Wire::REFUSAL_REASON_TOMBSTONE, verdict);
+    return refuse(Wire::REFUSAL_REASON_TOMBSTONE, verdict);
 }
 
 void EndpointGate::ended(const RunId &id)
@@ -138,11 +138,11 @@
     case RunState::Ended:
         return {.action = GateAction::Attach, .reason = Wire::REFUSAL_REASON_UNSPECIFIED, .verdict = Verdict::Ran};
     case RunState::AnswerGone:
-        return detail::refuse(Wire::REFUSAL_REASON_ANSWER_GONE, Verdict::Ran);
+        return refuse(Wire::REFUSAL_REASON_ANSWER_GONE, Verdict::Ran);
     case RunState::Tombstone:
         break;
     }
-    return detail::refuse(Wire::REFUSAL_REASON_TOMBSTONE, Verdict::NotRun);
+    return refuse(Wire::REFUSAL_REASON_TOMBSTONE, Verdict::NotRun);
 }
 
 GateDecision EndpointGate::judgeUnknown(const Wire::Run &run, std::uint64_t nowMs) const
@@ -150,25 +150,25 @@
     const Wire::Admission &admission = run.admission();
     const Verdict verdict = this->verdictOfUnknown(admission.gate_time_ms());
     if (verdict != Verdict::NotRun) {
-        return detail::refuse(Wire::REFUSAL_REASON_ANSWER_GONE, verdict);
+        return refuse(Wire::REFUSAL_REASON_ANSWER_GONE, verdict);
     }
     if (run.attach_only()) {
-        return detail::refuse(Wire::REFUSAL_REASON_UNKNOWN_RUN, verdict);
+        return refuse(Wire::REFUSAL_REASON_UNKNOWN_RUN, verdict);
     }
     if (this->isStale(admission.gate_time_ms(), nowMs)) {
-        return detail::refuse(Wire::REFUSAL_REASON_STALE_ADMISSION, verdict);
+        return refuse(Wire::REFUSAL_REASON_STALE_ADMISSION, verdict);
     }
     if (this->isLeaving()) {
-        return detail::refuse(Wire::REFUSAL_REASON_LEAVING, verdict);
+        return refuse(Wire::REFUSAL_REASON_LEAVING, verdict);
     }
     if (this->withdrawn.contains(admission.version())) {
-        return detail::refuse(Wire::REFUSAL_REASON_WITHDRAWN, verdict);
+        return refuse(Wire::REFUSAL_REASON_WITHDRAWN, verdict);
     }
     if (!this->isServed(admission)) {
-        return detail::refuse(Wire::REFUSAL_REASON_NOT_SERVED, verdict);
+        return refuse(Wire::REFUSAL_REASON_NOT_SERVED, verdict);
     }
     if (this->runningCount >= this->options.capacity || this->records.size() >= this->options.maxRecords) {
-        return detail::refuse(Wire::REFUSAL_REASON_FULL, verdict);
+        return refuse(Wire::REFUSAL_REASON_FULL, verdict);
     }
     return {.action = GateAction::Start, .reason = Wire::REFUSAL_REASON_UNSPECIFIED, .verdict = Verdict::MayHaveRun};
 }
--- a/Apricothead/src/Coordination/EndpointTask.cpp
+++ b/Apricothead/src/Coordination/EndpointTask.cpp
@@ -22,7 +22,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 /** Interval at which the usage of a long run is reported. */
 constexpr std::uint64_t UsageReportMs = 5000;
@@ -52,7 +52,7 @@
     std::shared_ptr<EngineRun> engine;
 };
 
-} // namespace detail
+} // namespace
 
 struct EndpointTask::Private {
     Private(EventLoop &eventLoop, EndpointTaskOptions given)
@@ -60,7 +60,7 @@
         , options(std::move(given))
         , settings(options.settings)
         , own(*settings.endpoint)
-        , incarnation(detail::wallClockMicros())
+        , incarnation(wallClockMicros())
         , http(eventLoop)
         , adapter(this->makeAdapter())
         , gate({.endpoint = own.id,
@@ -110,7 +110,7 @@
     void refuseUnreached(const RunId &id);
     void settle(const RunId &id, const EngineResult &result);
     void regulate();
-    void reportUsage(const RunId &id, detail::ActiveRun &run);
+    void reportUsage(const RunId &id, ActiveRun &run);
 
     // Towards entries and replicas.
     bool send(const PeerId &peer, Wire::Envelope envelope);
@@ -141,7 +141,7 @@
     std::unique_ptr<ReplicaClient> replicas;
     std::unique_ptr<ProposalQueue> proposals;
     std::unique_ptr<OrderQueue> orders;
-    std::map<RunId, detail::ActiveRun> active;
+    std::map<RunId, ActiveRun> active;
     std::set<PeerId> peers;
     std::function<void()> stopped;
 };
@@ -337,7 +337,7 @@
 
 void EndpointTask::Private::startRun(const RunId &id, const Wire::Run &run)
 {
-    detail::ActiveRun &started = this->active[id];
+    ActiveRun &started = this->active[id];
     started.version = run.admission().version();
     started.repeatable = run.admission().repeatable();
     started.startedAtMs = this->loop.nowMs();
@@ -364,7 +364,7 @@
     started.engine = this->adapter.run(run, std::move(hooks));
     logLine(LogLevel::Info,
             "run-started",
-            {{"run", detail::logName(id)},
+            {{"run", logName(id)},
              {"organisation", id.organisation},
              {"step", std::uint64_t{id.step}},
              {"attempt", std::uint64_t{id.attempt}},
@@ -384,7 +384,7 @@
     this->active.erase(found);
     logLine(LogLevel::Info,
             "run-ended",
-            {{"run", detail::logName(id)},
+            {{"run", logName(id)},
              {"attempt", std::uint64_t{id.attempt}},
              {"outcome", Wire::Outcome_Name(result.outcome)},
              {"neverSent", result.neverSent},
@@ -454,10 +454,10 @@
     }
 }
 
-void EndpointTask::Private::reportUsage(const RunId &id, detail::ActiveRun &run)
+void EndpointTask::Private::reportUsage(const RunId &id, ActiveRun &run)
 {
     const std::uint64_t nowMs = this->loop.nowMs();
-    if (run.usageInFlight || nowMs - run.usageReportedAtMs < detail::UsageReportMs) {
+    if (run.usageInFlight || nowMs - run.usageReportedAtMs < UsageReportMs) {
         return;
     }
     run.usageInFlight = true;
@@ -494,7 +494,7 @@
     refused->set_incarnation(this->incarnation);
     logLine(LogLevel::Info,
             "run-refused",
-            {{"run", detail::logName(id)},
+            {{"run", logName(id)},
              {"organisation", id.organisation},
              {"attempt", std::uint64_t{id.attempt}},
              {"reason", Wire::RefusalReason_Name(decision.reason)},
@@ -633,7 +633,7 @@
         cut.push_back(id);
     }
     for (const RunId &id : cut) {
-        logLine(LogLevel::Error, "run-cut-by-shutdown", {{"run", detail::logName(id)}, {"organisation", id.organisation}});
+        logLine(LogLevel::Error, "run-cut-by-shutdown", {{"run", logName(id)}, {"organisation", id.organisation}});
         EngineResult result;
         result.usage = this->active[id].engine->usage();
         result.error = "cut by the shutdown bound";
@@ -647,7 +647,7 @@
         this->loop.post(std::exchange(this->stopped, {}));
         return;
     }
-    this->shutdownTimer.startOnce(detail::CutSettleTime);
+    this->shutdownTimer.startOnce(CutSettleTime);
 }
 
 } // namespace Apricothead
--- a/Apricothead/src/Coordination/EngineMonitor.cpp
+++ b/Apricothead/src/Coordination/EngineMonitor.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 constexpr std::chrono::milliseconds ProbeInterval{500};
 /** Probes that fail in a row before the engine counts as unhealthy. */
@@ -13,7 +13,7 @@
 /** Cache events kept for the next load report; older ones give way. */
 constexpr std::size_t MaxPrefixes = 256;
 
-} // namespace detail
+} // namespace
 
 EngineMonitor::EngineMonitor(EventLoop &eventLoop, const EngineAdapter &engine, std::chrono::milliseconds interval, std::function<void()> healthHook)
     : loop(eventLoop)
@@ -31,7 +31,7 @@
 
 void EngineMonitor::start()
 {
-    this->probeTimer.startRepeating(detail::ProbeInterval);
+    this->probeTimer.startRepeating(ProbeInterval);
     this->loadTimer.startRepeating(this->loadInterval);
     this->probe();
     this->readReports();
@@ -76,7 +76,7 @@
 void EngineMonitor::takeProbe(bool isAnswered)
 {
     this->failures = isAnswered ? 0 : this->failures + 1;
-    const bool isHealthyNow = isAnswered || (this->healthy && this->failures < detail::ProbeFailures);
+    const bool isHealthyNow = isAnswered || (this->healthy && this->failures < ProbeFailures);
     if (isHealthyNow == this->healthy) {
         return;
     }
@@ -104,8 +104,8 @@
             }
             this->nextEvent = events.next;
             this->prefixes.insert(this->prefixes.end(), events.hints.begin(), events.hints.end());
-            if (this->prefixes.size() > detail::MaxPrefixes) {
-                this->prefixes.erase(this->prefixes.begin(), this->prefixes.end() - static_cast<std::ptrdiff_t>(detail::MaxPrefixes));
+            if (this->prefixes.size() > MaxPrefixes) {
+                this->prefixes.erase(this->prefixes.begin(), this->prefixes.end() - static_cast<std::ptrdiff_t>(MaxPrefixes));
             }
         });
     }
--- a/Apricothead/src/Coordination/OperatorBackend.cpp
+++ b/Apricothead/src/Coordination/OperatorBackend.cpp
@@ -4,7 +4,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 /** An operator waits longer than a caller would. */
 constexpr std::chrono::milliseconds OperatorPatience{8000};
@@ -17,19 +17,19 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
-} // namespace detail
+} // namespace
 
 OperatorBackend operatorBackend(ReplicaClient &client)
 {
     OperatorBackend backend;
     backend.propose = [&client](Wire::Command command, std::function<void(const ProposeOutcome &)> done) {
-        client.propose(std::move(command), detail::OperatorPatience, std::move(done));
+        client.propose(std::move(command), OperatorPatience, std::move(done));
     };
     backend.query = [&client](Wire::Query query, std::function<void(const Wire::QueryReply &)> done) {
-        client.query(std::move(query), detail::OperatorPatience, std::move(done));
+        client.query(std::move(query), OperatorPatience, std::move(done));
     };
     backend.changeMembers = [&client](Wire::ChangeMembers change, std::function<void(const Wire::ChangeMembersReply &)> done) {
-        client.changeMembers(std::move(change), detail::ReplacementPatience, std::move(done));
+        client.changeMembers(std::move(change), ReplacementPatience, std::move(done));
     };
     backend.endpoints = [&client] {
         return client.endpoints();
@@ -40,7 +40,7 @@
     backend.figures = [] {
         return std::vector<OrganisationFigures>();
     };
-    backend.nowMs = detail::wallClockNowMs;
+    backend.nowMs = wallClockNowMs;
     return backend;
 }
 
--- a/Apricothead/src/Coordination/OperatorCall.cpp
+++ b/Apricothead/src/Coordination/OperatorCall.cpp
@@ -12,7 +12,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 using Json = nlohmann::ordered_json;
 
@@ -38,7 +38,7 @@
     return "HTTP status " + std::to_string(status) + ": " + body;
 }
 
-} // namespace detail
+} // namespace
 
 struct OperatorCall::Private {
     Private(EventLoop &eventLoop, HttpClient &httpClient, OperatorCallOptions given, std::function<void(const OperatorCallResult &)> hook);
@@ -70,22 +70,22 @@
 
 std::optional<std::string> OperatorCall::Private::prepare()
 {
-    const auto *type = detail::requestType(this->options.method);
+    const auto *type = requestType(this->options.method);
     if (type == nullptr) {
         return "no method " + this->options.method + "; docs/operations/operator-calls.md lists them";
     }
-    detail::Json json = detail::Json::parse(this->options.json.empty() ? "{}" : this->options.json, nullptr, false);
+    Json json = Json::parse(this->options.json.empty() ? "{}" : this->options.json, nullptr, false);
     if (!json.is_object()) {
         return "the request is no JSON object";
     }
     if (type->FindFieldByName("command_id") != nullptr) {
         const char *name = json.contains("command_id") ? "command_id" : "commandId";
         if (!json.contains(name)) {
-            json[name] = this->options.commandId.empty() ? "call-" + randomHex(detail::CommandIdBytes) : this->options.commandId;
+            json[name] = this->options.commandId.empty() ? "call-" + randomHex(CommandIdBytes) : this->options.commandId;
         }
         this->result.commandId = json[name].is_string() ? json[name].get<std::string>() : std::string();
     }
-    this->body = json.dump(-1, ' ', false, detail::Json::error_handler_t::replace);
+    this->body = json.dump(-1, ' ', false, Json::error_handler_t::replace);
     return std::nullopt;
 }
 
@@ -121,17 +121,17 @@
 
 void OperatorCall::Private::ended(const HttpResult &http)
 {
-    if (http.whole && http.status == detail::HttpOk) {
+    if (http.whole && http.status == HttpOk) {
         this->finish(true, this->received);
         return;
     }
     // Only a lost answer or an unavailable system may look different on a further try, and the command id makes that safe.
-    const bool mayRetry = !http.whole || http.status == detail::HttpUnavailable;
+    const bool mayRetry = !http.whole || http.status == HttpUnavailable;
     if (mayRetry && this->loop.nowMs() + static_cast<std::uint64_t>(this->options.pause.count()) < this->endMs) {
         this->timer.startOnce(this->options.pause);
         return;
     }
-    this->finish(false, http.whole ? detail::errorText(http.status, this->received) : "no answer: " + http.error);
+    this->finish(false, http.whole ? errorText(http.status, this->received) : "no answer: " + http.error);
 }
 
 void OperatorCall::Private::finish(bool succeeded, std::string text)
--- a/Apricothead/src/Coordination/OperatorChangeCall.cpp
+++ b/Apricothead/src/Coordination/OperatorChangeCall.cpp
@@ -8,7 +8,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 Wire::Error missingRevision(std::uint64_t current)
 {
@@ -96,7 +96,7 @@
     proposeChange(backend, std::move(call), Wire::ConfigurationChange());
 }
 
-} // namespace detail
+} // namespace
 
 void callChange(const std::shared_ptr<OperatorBackend> &backend, OperatorChangeCall call)
 {
@@ -111,7 +111,7 @@
             call.done(reply.error());
             return;
         }
-        detail::buildChange(backend, call, reply.configuration());
+        buildChange(backend, call, reply.configuration());
     });
 }
 
--- a/Apricothead/src/Coordination/OperatorChanges.cpp
+++ b/Apricothead/src/Coordination/OperatorChanges.cpp
@@ -6,7 +6,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 using OrganisationResult = outcome::unchecked<Wire::Organisation, Wire::Error>;
 
@@ -50,7 +50,7 @@
     return change;
 }
 
-} // namespace detail
+} // namespace
 
 ChangeResult changeOf(const Wire::PutOrganisationRequest &request, const Wire::Configuration &configuration)
 {
@@ -62,7 +62,7 @@
     *organisation.mutable_allowances() = request.allowances();
     *organisation.mutable_limits() = request.limits();
     organisation.set_quality_target(request.quality_target());
-    return detail::putting(std::move(organisation));
+    return putting(std::move(organisation));
 }
 
 ChangeResult changeOf(const Wire::RemoveOrganisationRequest &request, const Wire::Configuration & /*configuration*/)
@@ -74,40 +74,40 @@
 
 ChangeResult changeOf(const Wire::RemoveKeyRequest &request, const Wire::Configuration &configuration)
 {
-    BOOST_OUTCOME_TRY(organisation, detail::organisationOf(configuration, request.organisation()));
+    BOOST_OUTCOME_TRY(organisation, organisationOf(configuration, request.organisation()));
     auto *hashes = organisation.mutable_key_hashes();
     const auto end = std::remove(hashes->begin(), hashes->end(), request.key_hash());
     if (end == hashes->end()) {
         return makeError(Wire::ERROR_CODE_NOT_FOUND, "key_hash", "is no key of the organisation", "read its key hashes with GetConfiguration");
     }
     hashes->erase(end, hashes->end());
-    return detail::putting(std::move(organisation));
+    return putting(std::move(organisation));
 }
 
 ChangeResult changeOf(const Wire::PutAllowanceRequest &request, const Wire::Configuration &configuration)
 {
-    BOOST_OUTCOME_TRY(organisation, detail::organisationOf(configuration, request.organisation()));
-    detail::removeAllowance(organisation, request.allowance().model());
+    BOOST_OUTCOME_TRY(organisation, organisationOf(configuration, request.organisation()));
+    removeAllowance(organisation, request.allowance().model());
     *organisation.add_allowances() = request.allowance();
-    return detail::putting(std::move(organisation));
+    return putting(std::move(organisation));
 }
 
 ChangeResult changeOf(const Wire::RemoveAllowanceRequest &request, const Wire::Configuration &configuration)
 {
-    BOOST_OUTCOME_TRY(organisation, detail::organisationOf(configuration, request.organisation()));
+    BOOST_OUTCOME_TRY(organisation, organisationOf(configuration, request.organisation()));
     const int before = organisation.allowances_size();
-    detail::removeAllowance(organisation, request.model());
+    removeAllowance(organisation, request.model());
     if (organisation.allowances_size() == before) {
         return makeError(Wire::ERROR_CODE_NOT_FOUND, "model", "is not allowed to the organisation", "correct the id");
     }
-    return detail::putting(std::move(organisation));
+    return putting(std::move(organisation));
 }
 
 ChangeResult changeOf(const Wire::SetLimitsRequest &request, const Wire::Configuration &configuration)
 {
-    BOOST_OUTCOME_TRY(organisation, detail::organisationOf(configuration, request.organisation()));
+    BOOST_OUTCOME_TRY(organisation, organisationOf(configuration, request.organisation()));
     *organisation.mutable_limits() = request.limits();
-    return detail::putting(std::move(organisation));
+    return putting(std::move(organisation));
 }
 
 ChangeResult changeOf(const Wire::PutModelRequest &request, const Wire::Configuration & /*configuration*/)
@@ -158,22 +158,22 @@
 
 ChangeResult changeOf(const Wire::PauseRolloutRequest &request, const Wire::Configuration &configuration)
 {
-    return detail::rolloutChange(configuration, request.model(), Wire::ROLLOUT_STATE_PAUSED, "");
+    return rolloutChange(configuration, request.model(), Wire::ROLLOUT_STATE_PAUSED, "");
 }
 
 ChangeResult changeOf(const Wire::ResumeRolloutRequest &request, const Wire::Configuration &configuration)
 {
-    return detail::rolloutChange(configuration, request.model(), Wire::ROLLOUT_STATE_RUNNING, "");
+    return rolloutChange(configuration, request.model(), Wire::ROLLOUT_STATE_RUNNING, "");
 }
 
 ChangeResult changeOf(const Wire::HaltRolloutRequest &request, const Wire::Configuration &configuration)
 {
-    return detail::rolloutChange(configuration, request.model(), Wire::ROLLOUT_STATE_HALTED, request.reason());
+    return rolloutChange(configuration, request.model(), Wire::ROLLOUT_STATE_HALTED, request.reason());
 }
 
 ChangeResult changeOf(const Wire::FinishRolloutRequest &request, const Wire::Configuration &configuration)
 {
-    return detail::rolloutChange(configuration, request.model(), Wire::ROLLOUT_STATE_DONE, "");
+    return rolloutChange(configuration, request.model(), Wire::ROLLOUT_STATE_DONE, "");
 }
 
 ChangeResult changeOf(const Wire::DrainEndpointRequest &request, const Wire::Configuration & /*configuration*/)
@@ -192,9 +192,9 @@
 
 ChangeResult addKey(const std::string &organisation, const std::string &keyHash, const Wire::Configuration &configuration)
 {
-    BOOST_OUTCOME_TRY(found, detail::organisationOf(configuration, organisation));
+    BOOST_OUTCOME_TRY(found, organisationOf(configuration, organisation));
     found.add_key_hashes(keyHash);
-    return detail::putting(std::move(found));
+    return putting(std::move(found));
 }
 
 } // namespace Apricothead
--- a/Apricothead/src/Coordination/OperatorMethods.cpp
+++ b/Apricothead/src/Coordination/OperatorMethods.cpp
@@ -13,7 +13,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 using Backend = std::shared_ptr<OperatorBackend>;
 
@@ -331,11 +331,11 @@
     ReportView view;
 };
 
-} // namespace detail
+} // namespace
 
 const OperatorMethod *findOperatorMethod(std::string_view name)
 {
-    const std::vector<OperatorMethod> &methods = detail::operatorMethods();
+    const std::vector<OperatorMethod> &methods = operatorMethods();
     const auto found = std::find_if(methods.begin(), methods.end(), [&](const OperatorMethod &method) {
         return method.name == name;
     });
@@ -344,7 +344,7 @@
 
 void makeReport(const std::shared_ptr<OperatorBackend> &backend, const std::function<void(const std::string &)> &done)
 {
-    std::make_shared<detail::ReportCall>(backend, done)->start();
+    std::make_shared<ReportCall>(backend, done)->start();
 }
 
 } // namespace Apricothead
--- a/Apricothead/src/Coordination/OperatorService.cpp
+++ b/Apricothead/src/Coordination/OperatorService.cpp
@@ -9,7 +9,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 constexpr std::string_view ServicePath = "/apricothead.v1.Operator/";
 /** Operators send short messages. */
@@ -69,7 +69,7 @@
     });
 }
 
-} // namespace detail
+} // namespace
 
 OperatorApi::OperatorApi(std::vector<OperatorToken> known, OperatorBackend source)
     : tokens(std::move(known)), backend(std::make_shared<OperatorBackend>(std::move(source)))
@@ -77,32 +77,32 @@
 
 void OperatorApi::handle(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) const
 {
-    const auto identity = identifyOperator(this->tokens, detail::headerOf(request, "authorization"));
+    const auto identity = identifyOperator(this->tokens, headerOf(request, "authorization"));
     if (!identity) {
-        return detail::sendError(*reply, connectError(401, "unauthenticated", "no known operator token; send Authorization: Bearer TOKEN"));
+        return sendError(*reply, connectError(401, "unauthenticated", "no known operator token; send Authorization: Bearer TOKEN"));
     }
-    if (detail::sendPage(this->backend, request, reply)) {
+    if (sendPage(this->backend, request, reply)) {
         return;
     }
-    if (!request.path.starts_with(detail::ServicePath)) {
-        return detail::sendError(*reply, connectError(404, "unimplemented", "no such path; call POST /apricothead.v1.Operator/METHOD"));
+    if (!request.path.starts_with(ServicePath)) {
+        return sendError(*reply, connectError(404, "unimplemented", "no such path; call POST /apricothead.v1.Operator/METHOD"));
     }
-    const std::string name = request.path.substr(detail::ServicePath.size());
+    const std::string name = request.path.substr(ServicePath.size());
     const OperatorMethod *method = findOperatorMethod(name);
     if (method == nullptr) {
-        return detail::sendError(*reply, connectError(404, "unimplemented", "no such method; proto/apricothead/v1/operator.proto lists them"));
+        return sendError(*reply, connectError(404, "unimplemented", "no such method; proto/apricothead/v1/operator.proto lists them"));
     }
     if (request.method != "POST") {
-        return detail::sendError(*reply, connectError(405, "unimplemented", "call methods with POST"));
+        return sendError(*reply, connectError(405, "unimplemented", "call methods with POST"));
     }
-    const auto encoding = connectEncoding(detail::headerOf(request, "content-type"));
+    const auto encoding = connectEncoding(headerOf(request, "content-type"));
     if (!encoding) {
-        return detail::sendError(*reply, connectError(415, "unimplemented", "send Content-Type: application/json or application/proto"));
+        return sendError(*reply, connectError(415, "unimplemented", "send Content-Type: application/json or application/proto"));
     }
     if (method->needsFullRole && identity->readOnly) {
-        return detail::sendError(*reply, connectError(403, "permission_denied", "the token is read-only; use one with the full role"));
+        return sendError(*reply, connectError(403, "permission_denied", "the token is read-only; use one with the full role"));
     }
-    detail::runMethod(this->backend, *method, {.identity = *identity, .encoding = *encoding, .body = request.body}, reply);
+    runMethod(this->backend, *method, {.identity = *identity, .encoding = *encoding, .body = request.body}, reply);
 }
 
 std::unique_ptr<OperatorService> OperatorService::start(EventLoop &loop, const EntrySettings &settings, OperatorBackend backend)
@@ -118,9 +118,9 @@
     : api(settings.operatorTokens, std::move(backend))
     , server(loop,
              {.address = settings.operatorAddress,
-              .maxBodyBytes = detail::MaxOperatorBodyBytes,
+              .maxBodyBytes = MaxOperatorBodyBytes,
               .maxHeaderBytes = settings.maxHeaderBytes,
-              .maxConnections = detail::MaxOperatorConnections,
+              .maxConnections = MaxOperatorConnections,
               .idleTimeout = settings.idleTimeout,
               .onRequest =
                   [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
--- a/Apricothead/src/Coordination/PlainService.cpp
+++ b/Apricothead/src/Coordination/PlainService.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 constexpr unsigned FirstServerErrorStatus = 500;
 
@@ -15,7 +15,7 @@
 public:
     PlainRun(HttpClient &client, const EndpointSettings &settings, const Wire::Run &run, EngineRunHooks runHooks) : hooks(std::move(runHooks))
     {
-        HttpCallOptions options = runCallOptions(settings, run.payload());
+        HttpCallOptions options = detail::runCallOptions(settings, run.payload());
         options.onHead = [this](unsigned status, const HttpHeaders &headers) {
             const auto type = headers.find("content-type");
             this->hooks.onHead(status, type == headers.end() ? std::string("application/octet-stream") : type->second);
@@ -54,7 +54,7 @@
 
     static EngineResult judge(const HttpResult &http)
     {
-        EngineResult result = brokenResult(http);
+        EngineResult result = detail::brokenResult(http);
         if (http.neverSent) {
             return result;
         }
@@ -77,18 +77,18 @@
     std::unique_ptr<HttpCall> call;
 };
 
-} // namespace detail
+} // namespace
 
 EngineAdapter plainServiceAdapter(HttpClient &client, const EndpointSettings &settings)
 {
     EngineAdapter adapter;
     adapter.run = [&client, settings](const Wire::Run &run, EngineRunHooks hooks) -> std::unique_ptr<EngineRun> {
-        return std::make_unique<detail::PlainRun>(client, settings, run, std::move(hooks));
+        return std::make_unique<PlainRun>(client, settings, run, std::move(hooks));
     };
     // A plain service need not know a path for this: any answer will do.
     adapter.probe = [&client, settings](const std::function<void(bool)> &done) {
         detail::callEngine(client, settings, {.method = "GET", .path = "/health", .body = {}}, [done](const HttpResult &http, const std::string &) {
-            done(http.whole && http.status < detail::FirstServerErrorStatus);
+            done(http.whole && http.status < FirstServerErrorStatus);
         });
     };
     return adapter;
--- a/Apricothead/src/Coordination/ProposalQueue.cpp
+++ b/Apricothead/src/Coordination/ProposalQueue.cpp
@@ -3,11 +3,11 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 constexpr std::chrono::milliseconds ProposalRetryInterval{200};
 
-} // namespace detail
+} // namespace
 
 ProposalQueue::ProposalQueue(EventLoop &loop, ReplicaClient &replicaClient, std::chrono::milliseconds tryDeadline)
     : client(replicaClient), deadline(tryDeadline), retryTimer(loop, [this] {
@@ -33,7 +33,7 @@
         if (outcome.status != Wire::PROPOSE_STATUS_APPLIED) {
             this->failed.push_back(kept);
             if (!this->retryTimer.isActive()) {
-                this->retryTimer.startOnce(detail::ProposalRetryInterval);
+                this->retryTimer.startOnce(ProposalRetryInterval);
             }
             return;
         }
--- a/Apricothead/src/Coordination/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/ReplicaTask.cpp
@@ -19,7 +19,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 namespace {
 
 /** Leadership is handed over within this time, or the replica stops as leader. */
@@ -95,7 +95,7 @@
 };
 
 } // namespace
-} // namespace detail
+} // namespace
 
 struct ReplicaTask::Private {
     Private(EventLoop &eventLoop, ReplicaTaskOptions given)
@@ -158,7 +158,7 @@
     std::string leaderAddress() const;
 
     // Processes
-    void sendUpdate(const PeerId &peer, detail::ConnectedProcess &process, bool withDigests = false);
+    void sendUpdate(const PeerId &peer, ConnectedProcess &process, bool withDigests = false);
     void sendUpdates();
 
     // Chores of the leader
@@ -198,12 +198,12 @@
     std::uint64_t knownMembershipIndex = 0;
 
     std::uint64_t nextId = 1;
-    std::map<std::uint64_t, detail::WaitingProposal> waiting;
-    std::map<std::uint64_t, detail::WaitingQuery> queries;
+    std::map<std::uint64_t, WaitingProposal> waiting;
+    std::map<std::uint64_t, WaitingQuery> queries;
     std::unique_ptr<ForwardedCalls> forwarded;
-    std::map<PeerId, detail::ConnectedProcess> processes;
+    std::map<PeerId, ConnectedProcess> processes;
     std::map<std::string, std::uint64_t> replicaHeardMs;
-    std::optional<detail::RunningChange> change;
+    std::optional<RunningChange> change;
     std::size_t orphansUnderWay = 0;
     // Jobs posted to the loop must not outlive the task.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -245,7 +245,7 @@
         return StoreError{.code = StoreError::Code::Io, .message = "cannot listen on " + this->settings.replica->address + ": " + failure.what()};
     }
     this->tickTimer.startRepeating(this->settings.timing.raftTick);
-    this->choreTimer.startRepeating(detail::ChoreInterval);
+    this->choreTimer.startRepeating(ChoreInterval);
     logLine(LogLevel::Info,
             "replica-started",
             {{"replica", this->store->replica()},
@@ -449,7 +449,7 @@
     if (found == this->waiting.end()) {
         return;
     }
-    const detail::WaitingProposal proposal = std::move(found->second);
+    const WaitingProposal proposal = std::move(found->second);
     this->waiting.erase(found);
     if (proposal.term == entry.term()) {
         proposal.done(Wire::PROPOSE_STATUS_APPLIED, &result);
@@ -484,13 +484,13 @@
     const bool wasLeader = this->knownRole == RaftRole::Leader;
     if (role != this->knownRole) {
         this->knownRole = role;
-        logLine(LogLevel::Info, "replica-role", {{"role", std::string(detail::roleName(role))}, {"term", this->raft->term()}});
+        logLine(LogLevel::Info, "replica-role", {{"role", std::string(roleName(role))}, {"term", this->raft->term()}});
     }
     if (wasLeader && role != RaftRole::Leader) {
         for (auto &[index, proposal] : std::exchange(this->waiting, {})) {
             proposal.done(Wire::PROPOSE_STATUS_UNKNOWN, nullptr);
         }
-        const Wire::Error error = detail::unavailable("leadership was lost during the change", "ask again: the next leader goes on from where it stands");
+        const Wire::Error error = unavailable("leadership was lost during the change", "ask again: the next leader goes on from where it stands");
         this->endChange(&error);
     }
     if (!wasLeader && role == RaftRole::Leader) {
@@ -510,7 +510,7 @@
         return;
     }
     const auto data = std::make_shared<const std::string>(this->machine.snapshot());
-    const RaftSnapshot snapshot = this->raft->compact(this->appliedIndex, data, every / detail::KeptShare);
+    const RaftSnapshot snapshot = this->raft->compact(this->appliedIndex, data, every / KeptShare);
     const StoreResult<void> saved = this->store->compact(snapshot, this->raft->log().firstIndex());
     if (!saved) {
         this->fail(saved.error().message);
@@ -604,7 +604,7 @@
         done(Wire::PROPOSE_STATUS_NOT_APPENDED, nullptr);
         return;
     }
-    this->lastStampMs = std::max(this->lastStampMs, detail::wallClockMs());
+    this->lastStampMs = std::max(this->lastStampMs, wallClockMs());
     command.set_time_ms(this->lastStampMs);
     const RaftProposal proposal = this->raft->propose(command.SerializeAsString());
     if (!proposal) {
@@ -655,7 +655,7 @@
     }
     Wire::Envelope reply = this->links->envelope();
     reply.mutable_query_reply()->set_call(query.call());
-    *reply.mutable_query_reply()->mutable_error() = detail::noLeader();
+    *reply.mutable_query_reply()->mutable_error() = noLeader();
     this->links->reply(peer, reply);
 }
 
@@ -666,7 +666,7 @@
         if (found == this->queries.end()) {
             continue;
         }
-        const detail::WaitingQuery waitingQuery = std::move(found->second);
+        const WaitingQuery waitingQuery = std::move(found->second);
         this->queries.erase(found);
         if (read.confirmed) {
             this->answerQuery(waitingQuery.peer, waitingQuery.query);
@@ -674,7 +674,7 @@
         }
         Wire::Envelope reply = this->links->envelope();
         reply.mutable_query_reply()->set_call(waitingQuery.query.call());
-        *reply.mutable_query_reply()->mutable_error() = detail::noLeader();
+        *reply.mutable_query_reply()->mutable_error() = noLeader();
         this->links->reply(waitingQuery.peer, reply);
     }
 }
@@ -727,7 +727,7 @@
 void ReplicaTask::Private::takeHeartbeat(const PeerId &peer, const Wire::Heartbeat &heartbeat)
 {
     this->directory.heard(heartbeat, this->now());
-    detail::ConnectedProcess &process = this->processes[peer];
+    ConnectedProcess &process = this->processes[peer];
     process.revision = heartbeat.revision();
     process.directoryNumber = heartbeat.directory_number();
     const bool outdated = process.revision < this->machine.configuration().revision() || process.leader != this->leaderAddress()
@@ -737,7 +737,7 @@
     }
 }
 
-void ReplicaTask::Private::sendUpdate(const PeerId &peer, detail::ConnectedProcess &process, bool withDigests)
+void ReplicaTask::Private::sendUpdate(const PeerId &peer, ConnectedProcess &process, bool withDigests)
 {
     Wire::Envelope message = this->links->envelope();
     Wire::ClusterUpdate *update = message.mutable_update();
@@ -792,7 +792,7 @@
         Wire::Envelope message = this->links->envelope();
         *message.mutable_change_members() = request;
         if (request.forwarded() || !this->forwarded->forward(peer, std::move(message), this->leaderAddress(), this->now())) {
-            refuse(detail::noLeader());
+            refuse(noLeader());
         }
         return;
     }
@@ -820,7 +820,7 @@
         this->change->call = request.call();
         return;
     }
-    this->change.emplace(detail::RunningChange{.change = MemberChange(request.remove(), request.add_address()), .peer = peer, .call = request.call()});
+    this->change.emplace(RunningChange{.change = MemberChange(request.remove(), request.add_address()), .peer = peer, .call = request.call()});
     logLine(LogLevel::Info, "membership-change-started", {{"remove", request.remove()}, {"add", request.add_address()}});
     this->driveChange();
 }
@@ -864,7 +864,7 @@
     const std::string address = this->change->change.addressToInvite();
     if (!address.empty()) {
         this->links->connectTo(address);
-        if (this->now() - this->change->invitedMs < detail::InviteAgainMs) {
+        if (this->now() - this->change->invitedMs < InviteAgainMs) {
             return;
         }
         Wire::Envelope message = this->links->envelope();
@@ -892,7 +892,7 @@
     if (!this->change) {
         return;
     }
-    const detail::RunningChange ended = *std::exchange(this->change, std::nullopt);
+    const RunningChange ended = *std::exchange(this->change, std::nullopt);
     logLine(LogLevel::Info, "membership-change-ended", {{"done", error == nullptr}, {"error", error == nullptr ? std::string() : error->message()}});
     if (!ended.peer) {
         return;
@@ -922,7 +922,7 @@
         }
         this->links->connectTo(seed);
         if (this->links->isConnected(seed)) {
-            this->change.emplace(detail::RunningChange{.change = MemberChange({}, seed)});
+            this->change.emplace(RunningChange{.change = MemberChange({}, seed)});
             return;
         }
     }
@@ -961,7 +961,7 @@
         return;
     }
     std::vector<Wire::RequestRecord> orphans = this->machine.orphans();
-    orphans.resize(std::min(orphans.size(), detail::OrphansAtOnce));
+    orphans.resize(std::min(orphans.size(), OrphansAtOnce));
     this->orphansUnderWay = orphans.size();
     for (const Wire::RequestRecord &record : orphans) {
         Wire::Command command;
@@ -996,7 +996,7 @@
 void ReplicaTask::stop(std::function<void()> stopped)
 {
     this->d->stopping = true;
-    this->d->stopAtMs = this->d->now() + detail::HandOverMs;
+    this->d->stopAtMs = this->d->now() + HandOverMs;
     this->d->stopped = std::move(stopped);
     this->d->checkStopped();
 }
--- a/Apricothead/src/Coordination/Report.cpp
+++ b/Apricothead/src/Coordination/Report.cpp
@@ -7,7 +7,7 @@
 #include <map>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 using Lines = std::vector<std::string>;
 
@@ -239,17 +239,17 @@
     return items;
 }
 
-} // namespace detail
+} // namespace
 
 std::string renderReport(const ReportView &view)
 {
-    const detail::Lines hands = detail::handsNeeded(view);
-    detail::Lines lines;
-    detail::addState(lines, view, hands.empty());
-    detail::addSection(lines, "needs a hand:", hands, detail::MostHands);
-    detail::addRollouts(lines, view.configuration);
-    detail::addSection(lines, "withdrawn versions:", detail::withdrawnVersions(view.configuration), detail::MostWithdrawn);
-    detail::addSection(lines, "first token and cost today, worst first:", detail::organisationLines(view), detail::MostOrganisations);
+    const Lines hands = handsNeeded(view);
+    Lines lines;
+    addState(lines, view, hands.empty());
+    addSection(lines, "needs a hand:", hands, MostHands);
+    addRollouts(lines, view.configuration);
+    addSection(lines, "withdrawn versions:", withdrawnVersions(view.configuration), MostWithdrawn);
+    addSection(lines, "first token and cost today, worst first:", organisationLines(view), MostOrganisations);
     std::string text;
     for (const std::string &line : lines) {
         text += line + "\n";
--- a/Apricothead/src/Coordination/RunBuffer.cpp
+++ b/Apricothead/src/Coordination/RunBuffer.cpp
@@ -4,7 +4,7 @@
 #include <limits>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 /** Memory that a chunk takes beside its text. */
 constexpr std::size_t ChunkOverheadBytes = 64;
@@ -20,7 +20,7 @@
     return credit == 0 ? std::numeric_limits<std::uint64_t>::max() : fromChunk + credit;
 }
 
-} // namespace detail
+} // namespace
 
 std::uint64_t RunBuffer::Answer::endChunk() const
 {
@@ -56,7 +56,7 @@
         ++answer.firstChunk;
         return;
     }
-    this->heldBytes += detail::chunkBytes(data);
+    this->heldBytes += chunkBytes(data);
     answer.chunks.push_back(std::move(data));
 }
 
@@ -97,7 +97,7 @@
         return false;
     }
     found->second.readers[reader]
-        = {.sendNext = fromChunk, .acknowledged = fromChunk, .limit = detail::creditLimit(fromChunk, credit), .headSent = false, .doneSent = false};
+        = {.sendNext = fromChunk, .acknowledged = fromChunk, .limit = creditLimit(fromChunk, credit), .headSent = false, .doneSent = false};
     return true;
 }
 
@@ -115,7 +115,7 @@
     Reader &state = attached->second;
     state.acknowledged = std::max(state.acknowledged, std::min(nextChunk, state.sendNext));
     if (credit > 0) {
-        state.limit = std::max(state.limit, detail::creditLimit(nextChunk, credit));
+        state.limit = std::max(state.limit, creditLimit(nextChunk, credit));
     }
     if (state.doneSent && state.acknowledged >= answer.endChunk()) {
         answer.delivered = true;
@@ -316,7 +316,7 @@
 void RunBuffer::release(Answer &answer, std::size_t count)
 {
     for (std::size_t released = 0; released < count; ++released) {
-        this->heldBytes -= detail::chunkBytes(answer.chunks.front());
+        this->heldBytes -= chunkBytes(answer.chunks.front());
         answer.chunks.pop_front();
         ++answer.firstChunk;
     }
--- a/Apricothead/src/Protocol/ChatAnswer.cpp
+++ b/Apricothead/src/Protocol/ChatAnswer.cpp
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 /** Engines serve lower numbers first. */
 constexpr int InteractivePriority = 0;
@@ -39,7 +39,7 @@
     return found != usage.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
 }
 
-} // namespace detail
+} // namespace
 
 bool ChatAnswer::take(std::string_view data)
 {
@@ -57,8 +57,8 @@
     }
     if (const auto usage = event.find("usage"); usage != event.end() && usage->is_object()) {
         Wire::Usage counted;
-        counted.set_input_tokens(detail::countOf(*usage, "prompt_tokens"));
-        counted.set_output_tokens(detail::countOf(*usage, "completion_tokens"));
+        counted.set_input_tokens(countOf(*usage, "prompt_tokens"));
+        counted.set_output_tokens(countOf(*usage, "completion_tokens"));
         this->reported = counted;
     }
     const auto choices = event.find("choices");
@@ -69,7 +69,7 @@
         if (!choice.is_object()) {
             continue;
         }
-        if (detail::hasContent(choice)) {
+        if (hasContent(choice)) {
             ++this->pieces;
         }
         const auto reason = choice.find("finish_reason");
@@ -119,7 +119,7 @@
     request["stream"] = true;
     request["stream_options"] = {{"include_usage", true}};
     request["model"] = std::string(version);
-    request["priority"] = priority == Wire::PRIORITY_DRAFT ? detail::DraftPriority : detail::InteractivePriority;
+    request["priority"] = priority == Wire::PRIORITY_DRAFT ? DraftPriority : InteractivePriority;
     return request.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/Apricothead/src/State/AdmissionRules.cpp
+++ b/Apricothead/src/State/AdmissionRules.cpp
@@ -3,7 +3,7 @@
 #include "ConfigurationLookup.h"
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 Check checkAllowance(const Wire::Configuration &configuration, const Wire::Admit &admit)
 {
@@ -72,14 +72,14 @@
         && record.endpoint() == admit.endpoint() && record.incarnation() == admit.incarnation() && record.version() == admit.version();
 }
 
-} // namespace detail
+} // namespace
 
 Check checkAdmissible(const AdmissionContext &context, const Wire::Admit &admit)
 {
-    BOOST_OUTCOME_TRYV(detail::checkAllowance(context.configuration, admit));
-    BOOST_OUTCOME_TRYV(detail::checkSession(context, admit));
-    BOOST_OUTCOME_TRYV(detail::checkVersionActive(context.configuration, admit));
-    return detail::checkEndpoint(context, admit);
+    BOOST_OUTCOME_TRYV(checkAllowance(context.configuration, admit));
+    BOOST_OUTCOME_TRYV(checkSession(context, admit));
+    BOOST_OUTCOME_TRYV(checkVersionActive(context.configuration, admit));
+    return checkEndpoint(context, admit);
 }
 
 AttemptRule attemptRule(const Wire::RequestRecord &record, const Wire::Admit &admit)
@@ -87,7 +87,7 @@
     if (record.fingerprint() != admit.fingerprint()) {
         return AttemptRule::KeyReused;
     }
-    if (detail::isSameProposal(record, admit)) {
+    if (isSameProposal(record, admit)) {
         return AttemptRule::Repeat;
     }
     if (record.state() == Wire::RECORD_STATE_SETTLED || admit.attempt() != record.attempt() + 1) {
--- a/Apricothead/src/State/ConfigurationChecks.cpp
+++ b/Apricothead/src/State/ConfigurationChecks.cpp
@@ -7,7 +7,7 @@
 #include "RolloutChecks.h"
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 Check checkRemoveOrganisation(const Wire::Configuration &configuration, const std::string &id)
 {
@@ -101,16 +101,16 @@
     return field == nullptr ? "change" : "change." + field->name();
 }
 
-} // namespace detail
+} // namespace
 
 Check checkChange(const Wire::Configuration &configuration, const Wire::ConfigurationChange &change)
 {
-    const Check check = detail::checkByKind(configuration, change);
+    const Check check = checkByKind(configuration, change);
     if (check.has_value()) {
         return outcome::success();
     }
     Wire::Error error = check.error();
-    const std::string path = detail::changeName(change);
+    const std::string path = changeName(change);
     error.set_field(error.field().empty() ? path : path + "." + error.field());
     return error;
 }
--- a/Apricothead/src/State/ConfigurationEdits.cpp
+++ b/Apricothead/src/State/ConfigurationEdits.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 template <typename Items, typename Item>
 void putById(Items *items, const Item &item)
@@ -142,39 +142,39 @@
     return {};
 }
 
-} // namespace detail
+} // namespace
 
 std::string changeSummary(const Wire::ConfigurationChange &change)
 {
     const auto *field = Wire::ConfigurationChange::descriptor()->FindFieldByNumber(change.change_case());
-    return field == nullptr ? std::string() : field->name() + " " + detail::subjectOf(change);
+    return field == nullptr ? std::string() : field->name() + " " + subjectOf(change);
 }
 
 void editConfiguration(Wire::Configuration &configuration, const Wire::ConfigurationChange &change)
 {
     switch (change.change_case()) {
     case Wire::ConfigurationChange::kPutOrganisation:
-        return detail::putById(configuration.mutable_organisations(), change.put_organisation());
+        return putById(configuration.mutable_organisations(), change.put_organisation());
     case Wire::ConfigurationChange::kRemoveOrganisation:
-        return detail::removeById(configuration.mutable_organisations(), change.remove_organisation());
+        return removeById(configuration.mutable_organisations(), change.remove_organisation());
     case Wire::ConfigurationChange::kPutModel:
-        return detail::putById(configuration.mutable_models(), change.put_model());
+        return putById(configuration.mutable_models(), change.put_model());
     case Wire::ConfigurationChange::kPutVersion:
-        return detail::putVersion(configuration, change.put_version());
+        return putVersion(configuration, change.put_version());
     case Wire::ConfigurationChange::kWithdrawVersion:
-        return detail::withdraw(configuration, change.withdraw_version());
+        return withdraw(configuration, change.withdraw_version());
     case Wire::ConfigurationChange::kPutCascade:
-        return detail::putById(configuration.mutable_cascades(), change.put_cascade());
+        return putById(configuration.mutable_cascades(), change.put_cascade());
     case Wire::ConfigurationChange::kRemoveCascade:
-        return detail::removeById(configuration.mutable_cascades(), change.remove_cascade());
+        return removeById(configuration.mutable_cascades(), change.remove_cascade());
     case Wire::ConfigurationChange::kStartRollout:
-        return detail::startRollout(configuration, change.start_rollout());
+        return startRollout(configuration, change.start_rollout());
     case Wire::ConfigurationChange::kSetRollout:
-        return detail::setRollout(configuration, change.set_rollout());
+        return setRollout(configuration, change.set_rollout());
     case Wire::ConfigurationChange::kDrainEndpoint:
         return configuration.add_drained_endpoints(change.drain_endpoint());
     case Wire::ConfigurationChange::kUndrainEndpoint:
-        return detail::undrain(configuration, change.undrain_endpoint());
+        return undrain(configuration, change.undrain_endpoint());
     case Wire::ConfigurationChange::CHANGE_NOT_SET:
         return;
     }
--- a/Apricothead/src/State/ConfigurationLookup.cpp
+++ b/Apricothead/src/State/ConfigurationLookup.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 template <typename Items>
 auto findById(const Items &items, std::string_view id)
@@ -14,26 +14,26 @@
     return found == items.end() ? nullptr : &*found;
 }
 
-} // namespace detail
+} // namespace
 
 const Wire::Organisation *findOrganisation(const Wire::Configuration &configuration, std::string_view id)
 {
-    return detail::findById(configuration.organisations(), id);
+    return findById(configuration.organisations(), id);
 }
 
 const Wire::Model *findModel(const Wire::Configuration &configuration, std::string_view id)
 {
-    return detail::findById(configuration.models(), id);
+    return findById(configuration.models(), id);
 }
 
 const Wire::Version *findVersion(const Wire::Configuration &configuration, std::string_view id)
 {
-    return detail::findById(configuration.versions(), id);
+    return findById(configuration.versions(), id);
 }
 
 const Wire::Cascade *findCascade(const Wire::Configuration &configuration, std::string_view id)
 {
-    return detail::findById(configuration.cascades(), id);
+    return findById(configuration.cascades(), id);
 }
 
 const Wire::Rollout *findRollout(const Wire::Configuration &configuration, std::string_view model)
--- a/Apricothead/src/State/FieldChecks.cpp
+++ b/Apricothead/src/State/FieldChecks.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 bool isIdCharacter(char c)
 {
@@ -16,7 +16,7 @@
     return static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
 }
 
-} // namespace detail
+} // namespace
 
 Check checkId(const std::string &field, std::string_view id)
 {
@@ -26,7 +26,7 @@
     if (id.size() > MaxIdBytes) {
         return makeError(Wire::ERROR_CODE_INVALID, field, "is longer than " + std::to_string(MaxIdBytes) + " bytes", "shorten the id");
     }
-    if (!std::all_of(id.begin(), id.end(), detail::isIdCharacter)) {
+    if (!std::all_of(id.begin(), id.end(), isIdCharacter)) {
         return makeError(Wire::ERROR_CODE_INVALID, field, "has other characters than letters, digits, '.', '-' and '_'", "change the id");
     }
     return outcome::success();
@@ -37,7 +37,7 @@
     if (text.size() > MaxTextBytes) {
         return makeError(Wire::ERROR_CODE_INVALID, field, "is longer than " + std::to_string(MaxTextBytes) + " bytes", "shorten the text");
     }
-    if (std::any_of(text.begin(), text.end(), detail::isControlCharacter)) {
+    if (std::any_of(text.begin(), text.end(), isControlCharacter)) {
         return makeError(Wire::ERROR_CODE_INVALID, field, "has control characters", "give one line of plain text");
     }
     return outcome::success();
--- a/Apricothead/src/State/KeyCode.cpp
+++ b/Apricothead/src/State/KeyCode.cpp
@@ -5,7 +5,7 @@
 #include <cstdint>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 constexpr int BytesOfLength = 4;
 constexpr int BitsOfByte = 8;
@@ -17,13 +17,13 @@
     }
 }
 
-} // namespace detail
+} // namespace
 
 std::string joinedParts(std::initializer_list<std::string_view> parts)
 {
     std::string bytes;
     for (const std::string_view part : parts) {
-        detail::appendNumber(bytes, static_cast<std::uint32_t>(part.size()));
+        appendNumber(bytes, static_cast<std::uint32_t>(part.size()));
         bytes.append(part);
     }
     return bytes;
@@ -32,7 +32,7 @@
 std::string keyCode(const Wire::RequestKey &key)
 {
     std::string bytes = joinedParts({key.organisation(), key.key()});
-    detail::appendNumber(bytes, key.step());
+    appendNumber(bytes, key.step());
     return bytes;
 }
 
--- a/Apricothead/src/State/Ledger.cpp
+++ b/Apricothead/src/State/Ledger.cpp
@@ -5,7 +5,7 @@
 #include <cstdio>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 constexpr std::uint64_t MostUsage = 1'000'000'000;
 constexpr std::uint64_t MostCalls = 1'000'000'000;
@@ -23,7 +23,7 @@
     return wanted.empty() || wanted == value;
 }
 
-} // namespace detail
+} // namespace
 
 std::string utcDay(std::int64_t timeMs)
 {
@@ -37,9 +37,9 @@
 Wire::Usage boundedUsage(const Wire::Usage &usage)
 {
     Wire::Usage bounded;
-    bounded.set_input_tokens(std::min(usage.input_tokens(), detail::MostUsage));
-    bounded.set_output_tokens(std::min(usage.output_tokens(), detail::MostUsage));
-    bounded.set_calls(std::min(usage.calls(), detail::MostCalls));
+    bounded.set_input_tokens(std::min(usage.input_tokens(), MostUsage));
+    bounded.set_output_tokens(std::min(usage.output_tokens(), MostUsage));
+    bounded.set_calls(std::min(usage.calls(), MostCalls));
     return bounded;
 }
 
@@ -58,7 +58,7 @@
         return 0;
     }
     const std::uint64_t tokens = usage.input_tokens() * version.input_price_micros() + usage.output_tokens() * version.output_price_micros();
-    return (tokens + detail::TokensOfPrice / 2) / detail::TokensOfPrice + usage.calls() * version.call_price_micros();
+    return (tokens + TokensOfPrice / 2) / TokensOfPrice + usage.calls() * version.call_price_micros();
 }
 
 void Ledger::add(const Wire::RequestRecord &settled)
@@ -69,7 +69,7 @@
     sum.set_day(day);
     sum.set_version(settled.version());
     sum.set_bills(sum.bills() + 1);
-    detail::addUsage(*sum.mutable_usage(), settled.usage());
+    addUsage(*sum.mutable_usage(), settled.usage());
     sum.set_cost_micros(sum.cost_micros() + settled.cost_micros());
 }
 
@@ -77,7 +77,7 @@
 {
     std::vector<Wire::LedgerDay> found;
     for (const auto &[place, sum] : this->sums) {
-        if (!detail::isAny(organisation, sum.organisation()) || !detail::isAny(day, sum.day())) {
+        if (!isAny(organisation, sum.organisation()) || !isAny(day, sum.day())) {
             continue;
         }
         found.push_back(sum);
--- a/Apricothead/src/State/ModelChecks.cpp
+++ b/Apricothead/src/State/ModelChecks.cpp
@@ -6,7 +6,7 @@
 #include <set>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 constexpr double HighestRating = 1;
 constexpr std::uint32_t LongestRatingMs = 600'000;
@@ -83,7 +83,7 @@
     return outcome::success();
 }
 
-} // namespace detail
+} // namespace
 
 Check checkActiveVersion(const Wire::Configuration &configuration, const std::string &field, const std::string &version, const std::string &model)
 {
@@ -107,8 +107,8 @@
         return makeError(Wire::ERROR_CODE_INVALID, "id", "is the id of a cascade", "choose another id: callers name models and cascades alike");
     }
     const Wire::Model *former = findModel(configuration, model.id());
-    BOOST_OUTCOME_TRYV(detail::checkKind(former, model));
-    return detail::checkStableVersion(configuration, former, model);
+    BOOST_OUTCOME_TRYV(checkKind(former, model));
+    return checkStableVersion(configuration, former, model);
 }
 
 Check checkVersion(const Wire::Configuration &configuration, const Wire::Version &version)
@@ -122,11 +122,11 @@
     }
     const Wire::Version *former = findVersion(configuration, version.id());
     if (former != nullptr) {
-        BOOST_OUTCOME_TRYV(detail::checkFormerVersion(*former, version));
+        BOOST_OUTCOME_TRYV(checkFormerVersion(*former, version));
     }
-    BOOST_OUTCOME_TRYV(detail::checkPrice("input_price_micros", version.input_price_micros()));
-    BOOST_OUTCOME_TRYV(detail::checkPrice("output_price_micros", version.output_price_micros()));
-    return detail::checkPrice("call_price_micros", version.call_price_micros());
+    BOOST_OUTCOME_TRYV(checkPrice("input_price_micros", version.input_price_micros()));
+    BOOST_OUTCOME_TRYV(checkPrice("output_price_micros", version.output_price_micros()));
+    return checkPrice("call_price_micros", version.call_price_micros());
 }
 
 Check checkWithdrawal(const Wire::Configuration &configuration, const Wire::WithdrawVersion &withdrawal)
@@ -154,9 +154,9 @@
     if (findModel(configuration, cascade.id()) != nullptr) {
         return makeError(Wire::ERROR_CODE_INVALID, "id", "is the id of a model", "choose another id: callers name models and cascades alike");
     }
-    BOOST_OUTCOME_TRYV(detail::checkCascadeModels(configuration, cascade));
-    BOOST_OUTCOME_TRYV(checkNumber("rating_threshold", cascade.rating_threshold(), detail::HighestRating));
-    return checkNumber("rating_timeout_ms", cascade.rating_timeout_ms(), detail::LongestRatingMs);
+    BOOST_OUTCOME_TRYV(checkCascadeModels(configuration, cascade));
+    BOOST_OUTCOME_TRYV(checkNumber("rating_threshold", cascade.rating_threshold(), HighestRating));
+    return checkNumber("rating_timeout_ms", cascade.rating_timeout_ms(), LongestRatingMs);
 }
 
 } // namespace Apricothead
--- a/Apricothead/src/State/OrganisationChecks.cpp
+++ b/Apricothead/src/State/OrganisationChecks.cpp
@@ -7,7 +7,7 @@
 #include <set>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 constexpr std::size_t Sha256HexDigits = 64;
 constexpr double HighestRate = 1e9;
@@ -93,14 +93,14 @@
     return checkNumber("limits.weight", limits.weight(), HighestWeight);
 }
 
-} // namespace detail
+} // namespace
 
 Check checkOrganisation(const Wire::Configuration &configuration, const Wire::Organisation &organisation)
 {
     BOOST_OUTCOME_TRYV(checkId("id", organisation.id()));
-    BOOST_OUTCOME_TRYV(detail::checkKeyHashes(configuration, organisation));
-    BOOST_OUTCOME_TRYV(detail::checkAllowances(configuration, organisation));
-    BOOST_OUTCOME_TRYV(detail::checkLimits(organisation.limits()));
+    BOOST_OUTCOME_TRYV(checkKeyHashes(configuration, organisation));
+    BOOST_OUTCOME_TRYV(checkAllowances(configuration, organisation));
+    BOOST_OUTCOME_TRYV(checkLimits(organisation.limits()));
     return checkText("quality_target", organisation.quality_target());
 }
 
--- a/Apricothead/src/State/StateMachine.cpp
+++ b/Apricothead/src/State/StateMachine.cpp
@@ -14,7 +14,7 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 /** Longest command id, in bytes. */
 constexpr std::size_t MaxCommandIdBytes = 128;
@@ -86,7 +86,7 @@
     *record.mutable_usage() = former.usage();
 }
 
-} // namespace detail
+} // namespace
 
 struct StateMachine::Private {
     StateMachineOptions options;
@@ -139,7 +139,7 @@
 
 Wire::CommandResult StateMachine::Private::admit(const Wire::Admit &admit)
 {
-    if (admit.key().key().empty() || admit.key().key().size() > detail::MaxKeyBytes) {
+    if (admit.key().key().empty() || admit.key().key().size() > MaxKeyBytes) {
         return refusal(makeError(Wire::ERROR_CODE_INVALID, "key.key", "is empty or too long", "give a key of at most 512 bytes"));
     }
     if (const Wire::RequestRecord *record = this->requests.find(admit.key())) {
@@ -168,15 +168,15 @@
     case AttemptRule::Known:
         return knownRecord(record);
     case AttemptRule::ProofMissing:
-        return detail::refusalBeside(makeError(Wire::ERROR_CODE_PROOF_MISSING,
-                                               "attempt",
-                                               "would run a request again that may have run and is not repeatable",
-                                               "abandon the former attempt with proof that it did not run"),
-                                     record);
+        return refusalBeside(makeError(Wire::ERROR_CODE_PROOF_MISSING,
+                                       "attempt",
+                                       "would run a request again that may have run and is not repeatable",
+                                       "abandon the former attempt with proof that it did not run"),
+                             record);
     case AttemptRule::KeyReused:
         break;
     }
-    return detail::refusalBeside(makeError(Wire::ERROR_CODE_KEY_REUSED, "key", "was used for another request", "use a new key"), record);
+    return refusalBeside(makeError(Wire::ERROR_CODE_KEY_REUSED, "key", "was used for another request", "use a new key"), record);
 }
 
 Wire::CommandResult StateMachine::Private::admitChecked(const Wire::Admit &admit, const Wire::RequestRecord *former)
@@ -190,9 +190,9 @@
         }
         return result;
     }
-    Wire::RequestRecord record = detail::admittedRecord(admit, this->appliedIndex, this->timeMs);
+    Wire::RequestRecord record = admittedRecord(admit, this->appliedIndex, this->timeMs);
     if (former != nullptr) {
-        detail::carryOver(record, *former);
+        carryOver(record, *former);
     }
     this->requests.put(record);
     if (!admit.session().empty()) {
@@ -213,7 +213,7 @@
     if (found == nullptr) {
         return this->noRecord(settle.key());
     }
-    if (!detail::isSettledBy(*found, settle.attempt())) {
+    if (!isSettledBy(*found, settle.attempt())) {
         return knownRecord(*found);
     }
     Wire::RequestRecord record = *found;
@@ -236,16 +236,16 @@
     if (found == nullptr) {
         return this->noRecord(abandon.key());
     }
-    if (!detail::isCurrentAttempt(*found, abandon.attempt())) {
+    if (!isCurrentAttempt(*found, abandon.attempt())) {
         return knownRecord(*found);
     }
     const bool isProof = abandon.proof() == Wire::NOT_RUN_PROOF_REFUSED || abandon.proof() == Wire::NOT_RUN_PROOF_TOMBSTONE;
     if (!isProof || abandon.endpoint() != found->endpoint() || abandon.incarnation() != found->incarnation()) {
-        return detail::refusalBeside(makeError(Wire::ERROR_CODE_PROOF_MISSING,
-                                               "proof",
-                                               "is not from the endpoint process with the admitted incarnation",
-                                               "ask that endpoint process to refuse the run"),
-                                     *found);
+        return refusalBeside(makeError(Wire::ERROR_CODE_PROOF_MISSING,
+                                       "proof",
+                                       "is not from the endpoint process with the admitted incarnation",
+                                       "ask that endpoint process to refuse the run"),
+                             *found);
     }
     Wire::RequestRecord record = *found;
     record.set_state(Wire::RECORD_STATE_ABANDONED);
@@ -262,7 +262,7 @@
     if (!this->incarnations.note(incarnation)) {
         return refusal(makeError(Wire::ERROR_CODE_STALE_INCARNATION, "incarnation", "is older than the newest known one", "end this process"));
     }
-    return detail::done();
+    return done();
 }
 
 Wire::CommandResult StateMachine::Private::takeFence(const Wire::TakeFence &fence)
@@ -284,19 +284,19 @@
     if (found == nullptr) {
         return this->noRecord(report.key());
     }
-    if (!detail::isCurrentAttempt(*found, report.attempt())) {
+    if (!isCurrentAttempt(*found, report.attempt())) {
         return knownRecord(*found);
     }
     Wire::RequestRecord record = *found;
     *record.mutable_usage() = boundedUsage(largerUsage(record.usage(), report.usage()));
     this->requests.put(record);
-    return detail::done();
+    return done();
 }
 
 Wire::CommandResult StateMachine::Private::change(const Wire::Command &command)
 {
     const std::string &id = command.command_id();
-    if (id.empty() || id.size() > detail::MaxCommandIdBytes) {
+    if (id.empty() || id.size() > MaxCommandIdBytes) {
         return refusal(makeError(Wire::ERROR_CODE_INVALID, "command_id", "is missing or longer than 128 bytes", "draw a new id for each change"));
     }
     if (std::optional<Wire::CommandResult> answer = this->answered.answerTo(command)) {
@@ -311,7 +311,7 @@
 Wire::CommandResult StateMachine::Private::noRecord(const Wire::RequestKey &key) const
 {
     if (this->requests.isRetired(key)) {
-        return knownRecord(detail::retiredRecord(key));
+        return knownRecord(retiredRecord(key));
     }
     return refusal(makeError(Wire::ERROR_CODE_NOT_FOUND, "key", "names no admitted request", "admit it first"));
 }
@@ -395,7 +395,7 @@
     if (const Wire::RequestRecord *record = this->d->requests.find(key)) {
         return *record;
     }
-    return this->d->requests.isRetired(key) ? detail::retiredRecord(key) : Wire::RequestRecord();
+    return this->d->requests.isRetired(key) ? retiredRecord(key) : Wire::RequestRecord();
 }
 
 std::size_t StateMachine::sessionCount() const
@@ -421,7 +421,7 @@
 std::vector<Wire::RequestRecord> StateMachine::orphans() const
 {
     std::vector<Wire::RequestRecord> found;
-    const std::int64_t abandonedBefore = this->d->timeMs - detail::AbandonedStandsMs;
+    const std::int64_t abandonedBefore = this->d->timeMs - AbandonedStandsMs;
     this->d->requests.forEachOpen([&](const Wire::RequestRecord &record) {
         const bool isGone = this->d->incarnations.isGone(record.endpoint(), record.incarnation());
         const bool isAbandoned = record.state() == Wire::RECORD_STATE_ABANDONED;
--- a/Apricothead/src/Transport/Timer.cpp
+++ b/Apricothead/src/Transport/Timer.cpp
@@ -7,14 +7,14 @@
 #include <utility>
 
 namespace Apricothead {
-namespace detail {
+namespace {
 
 ev_tstamp seconds(std::chrono::milliseconds delay)
 {
     return std::chrono::duration<ev_tstamp>(delay).count();
 }
 
-} // namespace detail
+} // namespace
 
 struct Timer::Private {
     Private(struct ev_loop *loop, std::function<void()> hook) : native(loop), timer(loop), fired(std::move(hook))
@@ -32,7 +32,7 @@
         this->timer.stop();
         // A long callback leaves the loop's time behind: the delay would be too short.
         ev_now_update(this->native);
-        this->timer.start(detail::seconds(delay), detail::seconds(interval));
+        this->timer.start(seconds(delay), seconds(interval));
     }
 
     struct ev_loop *native;
