Raft and its log clean under the linter

Ruled out: std::views::reverse (clang 14 does not compile it with this library). Change: const reference, std::find_if.

--- a/Apricothead/src/State/Raft.cpp
+++ b/Apricothead/src/State/Raft.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-Raft::Raft(RaftOptions given, RaftStored stored)
+Raft::Raft(RaftOptions given, const RaftStored &stored)
     : options(std::move(given))
     , entries(stored)
     , hardState(stored.hardState)
--- a/Apricothead/src/State/Raft.h
+++ b/Apricothead/src/State/Raft.h
@@ -89,7 +89,7 @@
 class Raft
 {
 public:
-    Raft(RaftOptions options, RaftStored stored);
+    Raft(RaftOptions options, const RaftStored &stored);
 
     void tick();
     void step(const Wire::RaftMessage &message);
--- a/Apricothead/src/State/RaftLog.cpp
+++ b/Apricothead/src/State/RaftLog.cpp
@@ -1,5 +1,6 @@
 #include "RaftLog.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace Apricothead {
@@ -140,10 +141,11 @@
 
 const Wire::Membership &RaftLog::membershipAt(std::uint64_t index) const
 {
-    for (auto found = this->memberships.rbegin(); found != this->memberships.rend(); ++found) {
-        if (found->first <= index) {
-            return found->second;
-        }
+    const auto found = std::find_if(this->memberships.rbegin(), this->memberships.rend(), [index](const auto &item) {
+        return item.first <= index;
+    });
+    if (found != this->memberships.rend()) {
+        return found->second;
     }
     return this->memberships.front().second;
 }
