A waiting request starts when another ends, and outdated reports of own runs hold nothing up

Cause: AdmissionControl started waiting requests on offers and on its 100 ms tick only; and a load report up to 200 ms old still counted own runs that had ended, so free places looked taken. Change: finished() starts what waits; runs of others are the reported ones less those of this entry at the time of the report.

--- a/Apricothead/src/Coordination/AdmissionControl.cpp
+++ b/Apricothead/src/Coordination/AdmissionControl.cpp
@@ -107,6 +107,7 @@
     this->pending.erase(found);
     --this->startedByModel[ended.model];
     this->limiter.finished(ended.organisation, ended.estimatedTokens, tokens, ran, this->options.nowMs());
+    this->startWaiting(ended.model, this->queues[ended.model]);
 }
 
 void AdmissionControl::tick()
@@ -173,8 +174,7 @@
     const double starting = started == this->startedByModel.end() ? 0.0 : started->second;
     // Starts count before they reach an endpoint: an admission is on its way for each.
     const double own = std::max<double>(load.ownRunning, starting);
-    const double others = load.allRunning > load.ownRunning ? load.allRunning - load.ownRunning : 0.0;
-    return own < places / this->entries || own + others < places;
+    return own < places / this->entries || own + load.othersRunning < places;
 }
 
 std::string AdmissionControl::firstModel(const std::string &model) const
--- a/Apricothead/src/Coordination/EndpointTracker.cpp
+++ b/Apricothead/src/Coordination/EndpointTracker.cpp
@@ -91,6 +91,7 @@
     History &history = this->histories[endpoint];
     history.heardMs = nowMs;
     view->reportedRunning = reading.running;
+    view->ownAtReport = view->ownRunning;
     view->reportedQueued = reading.queued;
     view->capacity = std::max(1U, reading.capacity);
     view->leaving = reading.leaving;
--- a/Apricothead/src/Coordination/Routing.h
+++ b/Apricothead/src/Coordination/Routing.h
@@ -28,6 +28,8 @@
     /** Runs this entry has under way there, and those it started after the report was made. */
     unsigned ownRunning = 0;
     unsigned ownSinceReport = 0;
+    /** Runs of this entry that the report counts too. */
+    unsigned ownAtReport = 0;
     /** Moving averages of what this entry measured there; 0 when nothing was. */
     double firstTokenMs = 0;
     double errorShare = 0;
--- a/Apricothead/src/Coordination/RoutingTable.cpp
+++ b/Apricothead/src/Coordination/RoutingTable.cpp
@@ -159,7 +159,8 @@
         }
         load.capacity += view.capacity;
         load.ownRunning += view.ownRunning;
-        load.allRunning += view.reportedRunning + view.reportedQueued + view.ownSinceReport;
+        const unsigned reported = view.reportedRunning + view.reportedQueued;
+        load.othersRunning += reported - std::min(reported, view.ownAtReport);
     }
     return load;
 }
--- a/Apricothead/src/Coordination/RoutingTable.h
+++ b/Apricothead/src/Coordination/RoutingTable.h
@@ -26,8 +26,8 @@
     unsigned capacity = 0;
     /** Runs of this entry. */
     unsigned ownRunning = 0;
-    /** Runs of all entries, as reported, and those that this entry has added since. */
-    unsigned allRunning = 0;
+    /** Runs of the other entries, as reported. */
+    unsigned othersRunning = 0;
 
     bool operator==(const ModelLoad &) const = default;
 };
