--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -205,7 +205,11 @@
             Wire::ConfigurationChange body;
             body.mutable_put_organisation()->set_id("organisation-0");
             body.mutable_put_organisation()->add_allowances()->set_model("small");
-            machine->apply(change(machine->configuration().revision(), body), 10000 + count);
+            const Wire::CommandResult result = machine->apply(change(machine->configuration().revision(), body), 10000 + count);
+            if (!result.has_revision()) {
+                std::cerr << result.ShortDebugString() << '\n';
+                std::exit(1);
+            }
         }
         micros.push_back({double(organisations), (processorMicros() - started) / Changes});
     }
