Test of a replica without a list of endpoints; no shadowed names

Cause: the mend of ReplicaClient::chooseDirectory had no test yet; test engineadapter compiled with warnings. Ruled out: nothing further. Change: test/replicaclient.cpp, two cases; parameters renamed in test/engineadapter.cpp, checks unchanged. Before: with the guard taken out, aReplicaWithoutAListEmptiesNothing fails (0 != 1). After: 2 of 2 cases pass. Conclusion: that failure is covered.

--- a/test/engineadapter.cpp
+++ b/test/engineadapter.cpp
@@ -17,10 +17,10 @@
 /** An engine that answers as the test says. */
 struct Fixture {
     Fixture()
-        : server(loop, HttpServerOptions{.address = "127.0.0.1:0", .onRequest = [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
-                                             this->request = request;
-                                             this->answer(*reply);
-                                             this->reply = reply;
+        : server(loop, HttpServerOptions{.address = "127.0.0.1:0", .onRequest = [this](const HttpRequest &asked, const std::shared_ptr<HttpReply> &caller) {
+                                             this->request = asked;
+                                             this->answer(*caller);
+                                             this->reply = caller;
                                          }})
     {
         this->settings.engineUrl = "http://" + this->server.boundAddress();
--- /dev/null
+++ b/test/replicaclient.cpp
@@ -0,0 +1,90 @@
+#define BOOST_TEST_MODULE replicaclient
+#include "main.h"
+
+#include "support/Wait.h"
+
+#include <Apricothead/Coordination>
+#include <Apricothead/Transport>
+
+using namespace Apricothead;
+using Test::runUntil;
+
+namespace {
+
+/** A replica that answers each heartbeat with one update. */
+struct ScriptedReplica {
+    explicit ScriptedReplica(EventLoop &loop)
+        : router(loop, RouterOptions{.address = "127.0.0.1:0", .onMessage = [this](const PeerId &peer, std::string_view bytes) {
+                                         Wire::Envelope message;
+                                         if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || !message.has_heartbeat()) {
+                                             return;
+                                         }
+                                         ++this->heartbeats;
+                                         Wire::Envelope reply;
+                                         reply.set_group("main");
+                                         *reply.mutable_update() = this->update;
+                                         this->router.send(peer, reply.SerializeAsString());
+                                     }})
+    { }
+
+    Wire::ClusterUpdate update;
+    unsigned heartbeats = 0;
+    Router router;
+};
+
+struct World {
+    World()
+        : first(loop)
+        , second(loop)
+        , client(loop,
+                 {.process = "entry-1",
+                  .seeds = {first.router.boundAddress(), second.router.boundAddress()},
+                  .heartbeat = std::chrono::milliseconds(20),
+                  .describe = [] {
+                      return Wire::Heartbeat();
+                  }})
+    { }
+
+    EventLoop loop;
+    ScriptedReplica first;
+    ScriptedReplica second;
+    ReplicaClient client;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(aReplicaWithoutAListEmptiesNothing, World)
+{
+    this->first.update.set_directory_changed(true);
+    this->first.update.set_directory_number(7);
+    this->first.update.add_endpoints()->set_endpoint("ep-1");
+    BOOST_REQUIRE(runUntil(this->loop, [this] {
+        return this->client.endpoints().size() == 1 && this->second.heartbeats > 0;
+    }));
+    // The first falls silent on endpoints; the second has sent no list yet.
+    this->first.update.clear_directory_changed();
+    const unsigned before = this->second.heartbeats;
+    BOOST_REQUIRE(runUntil(this->loop, [&] {
+        return this->second.heartbeats > before + 3;
+    }));
+    BOOST_TEST(this->client.endpoints().size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(theLeadersListCounts, World)
+{
+    for (ScriptedReplica *replica : {&this->first, &this->second}) {
+        replica->update.set_directory_changed(true);
+        replica->update.set_directory_number(7);
+        replica->update.set_leader_address(this->second.router.boundAddress());
+        replica->update.add_endpoints()->set_endpoint("ep-1");
+    }
+    this->second.update.add_endpoints()->set_endpoint("ep-2");
+    BOOST_REQUIRE(runUntil(this->loop, [this] {
+        return this->client.endpoints().size() == 2;
+    }));
+    const unsigned before = this->first.heartbeats;
+    BOOST_REQUIRE(runUntil(this->loop, [&] {
+        return this->first.heartbeats > before + 3;
+    }));
+    BOOST_TEST(this->client.endpoints().size() == 2);
+}
