Metrics tell a quantile with a few values too

Cause: the report said "latency unknown" after five requests (seen in the demo): Boost's P-square quantile is 0 until it has 2 n + 3 = 9 values. Ruled out: the report (it prints what it is given) and the entry (its counter stood). Change: below 9 values the largest one is told, which is the upper bound of each quantile. Before: test metrics, case aFewValuesHaveQuantilesToo, failed (0 < 20). After: 2 of 2 cases pass. Conclusion: mended.

--- a/Apricothead/src/Coordination/Metrics.cpp
+++ b/Apricothead/src/Coordination/Metrics.cpp
@@ -14,6 +14,8 @@
 namespace Statistics = boost::accumulators;
 
 constexpr std::array<double, 3> Quantiles{0.5, 0.95, 0.99};
+/** The P-square method has 2 n + 3 markers for n quantiles; with fewer values the largest one is told. */
+constexpr std::size_t LeastForQuantiles = 2 * Quantiles.size() + 3;
 constexpr std::array<const char *, 3> QuantileNames{"p50", "p95", "p99"};
 
 using Distribution = Statistics::accumulator_set<
@@ -30,8 +32,10 @@
     add("count", static_cast<double>(Statistics::count(distribution)));
     add("mean", Statistics::mean(distribution));
     add("max", Statistics::max(distribution));
+    const bool isEstimable = Statistics::count(distribution) >= LeastForQuantiles;
     for (std::size_t index = 0; index < Quantiles.size(); ++index) {
-        add(QuantileNames[index], Statistics::quantile(distribution, Statistics::quantile_probability = Quantiles[index]));
+        const double estimate = Statistics::quantile(distribution, Statistics::quantile_probability = Quantiles[index]);
+        add(QuantileNames[index], isEstimable ? estimate : Statistics::max(distribution));
     }
 }
 
--- a/test/metrics.cpp
+++ b/test/metrics.cpp
@@ -33,3 +33,13 @@
     BOOST_TEST(valueOf(metrics, "first_token_ms", "p95") == 950, boost::test_tools::tolerance(0.05));
     BOOST_TEST(metricsPage(metrics.read()).find("apricothead_requests{label=\"org-1\"} 1000") != std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(aFewValuesHaveQuantilesToo)
+{
+    Metrics metrics;
+    metrics.observe("first_token_ms", "org-1", 20);
+    metrics.observe("first_token_ms", "org-1", 30);
+    BOOST_TEST(valueOf(metrics, "first_token_ms", "p50") >= 20);
+    BOOST_TEST(valueOf(metrics, "first_token_ms", "p95") >= 20);
+    BOOST_TEST(valueOf(metrics, "first_token_ms", "p95") <= 30);
+}
