--- a/bench/admission.cpp
+++ b/bench/admission.cpp
@@ -495,7 +495,10 @@
 {
     const std::string part = argc > 1 ? argv[1] : "all";
     const bool all = part == "all";
-    if (all || part == "rates") {
+    if (part == "rates" && argc > 3) {
+        // Added delay of a sync in ms and of a message in µs.
+        rates(std::chrono::milliseconds(std::stoi(argv[2])), microseconds(std::stoi(argv[3])));
+    } else if (all || part == "rates") {
         for (const int syncMs : {0, 1, 5}) {
             for (const int messageUs : {0, 1200}) {
                 rates(std::chrono::milliseconds(syncMs), microseconds(messageUs));
