--- a/Apricothead/src/Coordination/StepRun.cpp
+++ b/Apricothead/src/Coordination/StepRun.cpp
@@ -98,6 +98,7 @@
 {
     this->phase = Phase::Admitting;
     this->decision = chosen;
+    this->admitSinceMs = this->nowMs();
     Wire::Admit admit;
     *admit.mutable_key() = this->key();
     admit.set_attempt(this->nextAttempt);
@@ -122,6 +123,7 @@
 
 void StepRun::admissionDecided(const ProposeOutcome &outcome)
 {
+    this->admittingMs += this->nowMs() - this->admitSinceMs;
     if (this->phase != Phase::Admitting) {
         return;
     }
@@ -723,6 +725,11 @@
     return this->soFar;
 }
 
+std::uint64_t StepRun::admissionMs() const
+{
+    return this->admittingMs;
+}
+
 std::uint64_t StepRun::homeKey() const
 {
     const std::string &subject = this->request.session.empty() && !this->request.messages.empty() ? this->request.messages.front() : this->request.session;
