One module reads the wall clock

Ruled out: a clock passed to each task (none of them is tested against wall-clock time but by hooks that exist). Change: Transport/WallClock; the five copies are gone. Conclusion: less to read.

--- a/Apricothead/src/Coordination/EndpointTask.cpp
+++ b/Apricothead/src/Coordination/EndpointTask.cpp
@@ -13,6 +13,7 @@
 #include "../Transport/Log.h"
 #include "../Transport/Router.h"
 #include "../Transport/Timer.h"
+#include "../Transport/WallClock.h"
 
 #include <xxhash.h>
 
@@ -29,12 +30,6 @@
 /** After the shutdown bound: time left for the bills of what was cut. */
 constexpr std::chrono::milliseconds CutSettleTime{1000};
 
-std::uint64_t wallClockMicros()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
 /** Names a run in the log without the caller's key. */
 std::uint64_t logName(const RunId &id)
 {
--- a/Apricothead/src/Coordination/EntryTask.cpp
+++ b/Apricothead/src/Coordination/EntryTask.cpp
@@ -17,6 +17,7 @@
 #include "../Transport/HttpServer.h"
 #include "../Transport/Log.h"
 #include "../Transport/Timer.h"
+#include "../Transport/WallClock.h"
 
 #include <map>
 #include <random>
@@ -36,18 +37,6 @@
 constexpr unsigned HeadersTooLarge = 431;
 constexpr unsigned DrawnIdBytes = 16;
 
-std::uint64_t wallClockMicros()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
-std::int64_t wallClockMs()
-{
-    constexpr std::uint64_t MicrosPerMs = 1000;
-    return static_cast<std::int64_t>(wallClockMicros() / MicrosPerMs);
-}
-
 CallerError serverRefusal(unsigned status)
 {
     switch (status) {
--- a/Apricothead/src/Coordination/OperatorBackend.cpp
+++ b/Apricothead/src/Coordination/OperatorBackend.cpp
@@ -1,4 +1,5 @@
 #include "OperatorBackend.h"
+#include "../Transport/WallClock.h"
 
 #include <chrono>
 #include <utility>
@@ -11,12 +12,6 @@
 /** A replica needs time to catch up before it may replace another. */
 constexpr std::chrono::milliseconds ReplacementPatience{60000};
 
-std::int64_t wallClockNowMs()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 } // namespace
 
 OperatorBackend operatorBackend(ReplicaClient &client)
@@ -40,7 +35,7 @@
     backend.figures = [] {
         return std::vector<OrganisationFigures>();
     };
-    backend.nowMs = wallClockNowMs;
+    backend.nowMs = wallClockMs;
     return backend;
 }
 
--- a/Apricothead/src/Coordination/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/ReplicaTask.cpp
@@ -12,6 +12,7 @@
 #include "../Transport/EventLoop.h"
 #include "../Transport/Log.h"
 #include "../Transport/Timer.h"
+#include "../Transport/WallClock.h"
 
 #include <algorithm>
 #include <chrono>
@@ -32,12 +33,6 @@
 /** A quarter of the entries of a snapshot interval is kept for replicas that lag behind a little. */
 constexpr std::uint64_t KeptShare = 4;
 
-std::int64_t wallClockMs()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 std::string_view roleName(RaftRole role)
 {
     switch (role) {
--- a/Apricothead/src/Transport/Log.cpp
+++ b/Apricothead/src/Transport/Log.cpp
@@ -1,4 +1,5 @@
 #include "Log.h"
+#include "WallClock.h"
 
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
@@ -41,12 +42,6 @@
     return "error";
 }
 
-std::int64_t wallClockMs()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 } // namespace
 
 void startLog(std::string_view process, LogLevel least)
