--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -5,9 +5,9 @@
 #include <nlohmann/json.hpp>
 
 #include <malloc.h>
-#include <time.h>
 
 #include <cmath>
+#include <ctime>
 #include <functional>
 #include <iostream>
 #include <vector>
