--- /dev/null
+++ b/Apricothead/src/Coordination/AnnouncementBook.cpp
@@ -0,0 +1,136 @@
+#include "AnnouncementBook.h"
+
+#include <algorithm>
+
+namespace Apricothead {
+namespace {
+
+bool isOlder(const Wire::EndpointAnnouncement &announcement, const Wire::EndpointAnnouncement &known)
+{
+    if (announcement.born_ms() != known.born_ms()) {
+        return announcement.born_ms() < known.born_ms();
+    }
+    return announcement.sequence() <= known.sequence();
+}
+
+bool saysTheSame(const Wire::EndpointAnnouncement &left, const Wire::EndpointAnnouncement &right)
+{
+    return left.service() == right.service() && left.address() == right.address() && left.availability_zone() == right.availability_zone()
+        && left.version() == right.version() && left.slots() == right.slots() && left.state() == right.state() && left.born_ms() == right.born_ms();
+}
+
+} // namespace
+
+bool isFinal(Wire::AnnouncedState state)
+{
+    return state == Wire::ANNOUNCED_STATE_LEAVING || state == Wire::ANNOUNCED_STATE_GONE;
+}
+
+AnnouncementBook::AnnouncementBook(std::uint64_t silence, std::uint64_t forget) : silenceMs(silence), forgetMs(forget)
+{ }
+
+std::vector<Wire::EndpointAnnouncement> AnnouncementBook::heard(const Wire::EndpointAnnouncement &announcement, std::uint64_t nowMs)
+{
+    std::vector<Wire::EndpointAnnouncement> changed;
+    const auto found = this->known.find(announcement.endpoint());
+    const bool isNew = found == this->known.end() || announcement.born_ms() > found->second.announcement.born_ms();
+    if (found != this->known.end() && isOlder(announcement, found->second.announcement)) {
+        return changed;
+    }
+    if (isNew && this->isAddressTaken(announcement)) {
+        return changed;
+    }
+    Known &entry = this->known[announcement.endpoint()];
+    Wire::EndpointAnnouncement next = announcement;
+    if (!isNew && isFinal(entry.announcement.state()) && !isFinal(announcement.state())) {
+        next.set_state(entry.announcement.state());
+    }
+    if (!isNew && entry.announcement.state() == Wire::ANNOUNCED_STATE_GONE) {
+        next.set_state(Wire::ANNOUNCED_STATE_GONE);
+    }
+    const bool differs = isNew || !saysTheSame(entry.announcement, next);
+    entry = {.announcement = next, .heardMs = nowMs};
+    if (differs) {
+        changed.push_back(next);
+        this->retireFormerHolders(next, nowMs, changed);
+    }
+    return changed;
+}
+
+bool AnnouncementBook::isAddressTaken(const Wire::EndpointAnnouncement &announcement) const
+{
+    return std::any_of(this->known.begin(), this->known.end(), [&announcement](const auto &other) {
+        const Wire::EndpointAnnouncement &holder = other.second.announcement;
+        return other.first != announcement.endpoint() && holder.address() == announcement.address() && holder.born_ms() > announcement.born_ms();
+    });
+}
+
+void AnnouncementBook::retireFormerHolders(const Wire::EndpointAnnouncement &holder, std::uint64_t nowMs, std::vector<Wire::EndpointAnnouncement> &changed)
+{
+    for (auto &[endpoint, other] : this->known) {
+        const bool isFormer = endpoint != holder.endpoint() && other.announcement.address() == holder.address()
+            && other.announcement.born_ms() < holder.born_ms() && other.announcement.state() != Wire::ANNOUNCED_STATE_GONE;
+        if (!isFormer) {
+            continue;
+        }
+        other.announcement.set_state(Wire::ANNOUNCED_STATE_GONE);
+        other.heardMs = nowMs;
+        changed.push_back(other.announcement);
+    }
+}
+
+std::vector<Wire::EndpointAnnouncement> AnnouncementBook::left(const std::string &endpoint, std::uint64_t nowMs)
+{
+    const auto found = this->known.find(endpoint);
+    if (found == this->known.end() || found->second.announcement.state() == Wire::ANNOUNCED_STATE_GONE) {
+        return {};
+    }
+    found->second.announcement.set_state(Wire::ANNOUNCED_STATE_GONE);
+    found->second.heardMs = nowMs;
+    return {found->second.announcement};
+}
+
+std::vector<Wire::EndpointAnnouncement> AnnouncementBook::expire(std::uint64_t nowMs)
+{
+    std::vector<Wire::EndpointAnnouncement> changed;
+    std::erase_if(this->known, [this, nowMs](const auto &entry) {
+        return entry.second.announcement.state() != Wire::ANNOUNCED_STATE_READY && nowMs - entry.second.heardMs > this->forgetMs;
+    });
+    for (auto &[endpoint, entry] : this->known) {
+        if (entry.announcement.state() != Wire::ANNOUNCED_STATE_READY || nowMs - entry.heardMs <= this->silenceMs) {
+            continue;
+        }
+        entry.announcement.set_state(Wire::ANNOUNCED_STATE_SILENT);
+        changed.push_back(entry.announcement);
+    }
+    return changed;
+}
+
+void AnnouncementBook::grace(std::uint64_t nowMs)
+{
+    for (auto &[endpoint, entry] : this->known) {
+        entry.heardMs = nowMs;
+    }
+}
+
+std::vector<Wire::EndpointAnnouncement> AnnouncementBook::all() const
+{
+    std::vector<Wire::EndpointAnnouncement> listed;
+    for (const auto &[endpoint, entry] : this->known) {
+        listed.push_back(entry.announcement);
+    }
+    return listed;
+}
+
+std::vector<Wire::EndpointAnnouncement> AnnouncementBook::heardSince(std::uint64_t sinceMs) const
+{
+    std::vector<Wire::EndpointAnnouncement> listed;
+    for (const auto &[endpoint, entry] : this->known) {
+        if (entry.heardMs > sinceMs && entry.announcement.state() == Wire::ANNOUNCED_STATE_READY) {
+            listed.push_back(entry.announcement);
+        }
+    }
+    return listed;
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/AnnouncementBook.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "../Protocol/Messages.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Apricothead {
+
+/** \class AnnouncementBook
+ * \ingroup Coordination_Module
+ * \brief What endpoints said of themselves in their heartbeats, as one replica heard it. Kept in memory only.
+ *
+ * Late heartbeats are told apart by incarnation and sequence. An endpoint that is leaving or gone stays so for its incarnation. An
+ * address belongs to the incarnation that started last.
+ */
+class AnnouncementBook
+{
+public:
+    /** \a silenceMs: an endpoint without a heartbeat for longer is listed as silent; \a forgetMs: one that is gone for longer is dropped. */
+    AnnouncementBook(std::uint64_t silenceMs, std::uint64_t forgetMs);
+
+    /** \returns the announcements that changed what is known, beside a newer sequence; empty for a late or repeated heartbeat */
+    std::vector<Wire::EndpointAnnouncement> heard(const Wire::EndpointAnnouncement &announcement, std::uint64_t nowMs);
+
+    /** The endpoint said that it ends. \returns what changed */
+    std::vector<Wire::EndpointAnnouncement> left(const std::string &endpoint, std::uint64_t nowMs);
+
+    /** \returns the endpoints that fell silent. A caller that was suspended itself calls grace() first. */
+    std::vector<Wire::EndpointAnnouncement> expire(std::uint64_t nowMs);
+
+    /** Gives every endpoint its full time again: nothing could be heard until \a nowMs. */
+    void grace(std::uint64_t nowMs);
+
+    std::vector<Wire::EndpointAnnouncement> all() const;
+
+    /** \returns endpoints that are ready and were heard after \a sinceMs */
+    std::vector<Wire::EndpointAnnouncement> heardSince(std::uint64_t sinceMs) const;
+
+private:
+    struct Known {
+        Wire::EndpointAnnouncement announcement;
+        std::uint64_t heardMs = 0;
+    };
+    void retireFormerHolders(const Wire::EndpointAnnouncement &holder, std::uint64_t nowMs, std::vector<Wire::EndpointAnnouncement> &changed);
+    bool isAddressTaken(const Wire::EndpointAnnouncement &announcement) const;
+
+    std::uint64_t silenceMs;
+    std::uint64_t forgetMs;
+    std::map<std::string, Known> known;
+};
+
+/** \returns true when \a state is final for an incarnation */
+bool isFinal(Wire::AnnouncedState state);
+
+} // namespace Apricothead
--- a/Apricothead/src/Coordination/ReplicaClient.cpp
+++ b/Apricothead/src/Coordination/ReplicaClient.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds ScanInterval{50};
 /** A call unanswered for this long is sent to another replica. */
 constexpr std::uint64_t ResendAfterMs = 400;
+/** Replicas that are followed at most: twice the largest group, since replaced ones stay on the list. */
+constexpr std::size_t MostReplicas = 14;
 
 /** One proposal, query or membership change until it is answered. */
 struct PendingCall {
@@ -96,30 +98,50 @@
     void connect()
     {
         for (std::size_t seed = 0; seed < this->options.seeds.size(); ++seed) {
-            this->dealers.push_back(std::make_unique<Dealer>(this->loop,
-                                                             DealerOptions{
-                                                                 .address = this->options.seeds[seed],
-                                                                 .heartbeat = this->options.linkHeartbeat,
-                                                                 .silence = this->options.linkSilence,
-                                                                 .onMessage =
-                                                                     [this, seed](std::string_view bytes) {
-                                                                         this->receive(seed, bytes);
-                                                                     },
-                                                                 .onConnected =
-                                                                     [this, seed] {
-                                                                         this->directoryNumbers[seed] = 0;
-                                                                         this->sendHeartbeat(seed);
-                                                                     },
-                                                                 .onSilent =
-                                                                     [this, seed] {
-                                                                         this->forget(seed);
-                                                                     },
-                                                             }));
+            this->connectTo(seed);
         }
         this->heartbeatTimer.startRepeating(this->options.heartbeat);
         this->sendHeartbeats();
     }
 
+    void connectTo(std::size_t seed)
+    {
+        this->dealers.push_back(std::make_unique<Dealer>(this->loop,
+                                                         DealerOptions{
+                                                             .address = this->options.seeds[seed],
+                                                             .heartbeat = this->options.linkHeartbeat,
+                                                             .silence = this->options.linkSilence,
+                                                             .onMessage =
+                                                                 [this, seed](std::string_view bytes) {
+                                                                     this->receive(seed, bytes);
+                                                                 },
+                                                             .onConnected =
+                                                                 [this, seed] {
+                                                                     this->directoryNumbers[seed] = 0;
+                                                                     if (this->options.onReplicaConnected) {
+                                                                         this->options.onReplicaConnected(this->options.seeds[seed]);
+                                                                     }
+                                                                     this->sendHeartbeat(seed);
+                                                                 },
+                                                             .onSilent =
+                                                                 [this, seed] {
+                                                                     this->forget(seed);
+                                                                 },
+                                                         }));
+    }
+
+    /** Replicas that took the place of seeds. */
+    void followMembers(const Wire::ClusterUpdate &update)
+    {
+        for (const Wire::Member &member : update.members()) {
+            const auto &known = this->options.seeds;
+            if (std::find(known.begin(), known.end(), member.address()) == known.end() && known.size() < MostReplicas) {
+                this->options.seeds.push_back(member.address());
+                this->connectTo(this->options.seeds.size() - 1);
+            }
+        }
+    }
+
     Wire::Envelope envelope() const
     {
         Wire::Envelope message;
@@ -138,6 +160,9 @@
         message.mutable_heartbeat()->set_process(this->options.process);
         message.mutable_heartbeat()->set_revision(this->configuration.revision());
         message.mutable_heartbeat()->set_directory_number(this->directoryNumbers[seed]);
+        if (this->options.describeTo) {
+            this->options.describeTo(this->options.seeds[seed], *message.mutable_heartbeat());
+        }
         this->dealers[seed]->send(message.SerializeAsString());
     }
 
@@ -154,6 +179,9 @@
         if (this->leader == this->options.seeds[seed]) {
             this->leader.clear();
         }
+        if (this->options.onReplicaSilent) {
+            this->options.onReplicaSilent(this->options.seeds[seed]);
+        }
         for (auto &[id, call] : this->calls) {
             if (call.lastSeed == seed) {
                 call.resendAtMs = 0;
@@ -266,6 +294,12 @@
             this->options.onDigests({update.digests().begin(), update.digests().end()});
         }
         this->chooseDirectory(seed);
+        if (this->options.followMembers) {
+            this->followMembers(update);
+        }
+        if (this->options.onUpdate) {
+            this->options.onUpdate(this->options.seeds[seed], update);
+        }
     }
 
     /** Each replica lists what it hears itself; the leader's list counts, since a replica that is cut off lists too little. */
--- a/Apricothead/src/Coordination/ReplicaClient.h
+++ b/Apricothead/src/Coordination/ReplicaClient.h
@@ -32,6 +32,16 @@
     std::function<void(const std::vector<Wire::EndpointStatus> &)> onDirectory;
     /** The newest digests of all entries, this one's included. Sent only to a process whose heartbeats carry a digest. */
     std::function<void(const std::vector<Wire::EntryDigest> &)> onDigests;
+    /** Any update, with the address of the replica that sent it. */
+    std::function<void(const std::string &replica, const Wire::ClusterUpdate &)> onUpdate;
+    /** The replica has not been heard within the silence bound. */
+    std::function<void(const std::string &replica)> onReplicaSilent;
+    /** A new connection to the replica was made; it knows nothing of this process. */
+    std::function<void(const std::string &replica)> onReplicaConnected;
+    /** Completes the heartbeat for one replica. */
+    std::function<void(const std::string &replica, Wire::Heartbeat &)> describeTo;
+    /** Whether connections are made to members that are no seeds, too. */
+    bool followMembers = false;
 };
 
 /** \class ProposeOutcome
--- a/Apricothead/src/Coordination/ReplicaLinks.cpp
+++ b/Apricothead/src/Coordination/ReplicaLinks.cpp
@@ -96,6 +96,13 @@
     return true;
 }
 
+void ReplicaLinks::sendToMembers(const Wire::Envelope &message)
+{
+    for (const auto &[replica, address] : this->addresses) {
+        this->sendTo(address, message);
+    }
+}
+
 void ReplicaLinks::sendRaft(const Wire::RaftMessage &message)
 {
     Wire::Envelope envelope = this->envelope();
--- a/Apricothead/src/Coordination/ReplicaLinks.h
+++ b/Apricothead/src/Coordination/ReplicaLinks.h
@@ -54,6 +54,9 @@
     /** Sends to the replica at \a address. \returns false when it is not connected */
     bool sendTo(const std::string &address, const Wire::Envelope &message);
 
+    /** Sends to all other members that are connected. */
+    void sendToMembers(const Wire::Envelope &message);
+
     /** Sends to the member that the message names, by its address or by the connection it made. A message that can't be sent is dropped. */
     void sendRaft(const Wire::RaftMessage &message);
 
--- a/Apricothead/src/Coordination/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/ReplicaTask.cpp
@@ -4,8 +4,12 @@
 #include "Directory.h"
 #include "EndpointWatch.h"
 #include "ForwardedCalls.h"
+#include "GroupSetup.h"
 #include "MemberChange.h"
+#include "MembershipRepair.h"
 #include "ReplicaLinks.h"
+#include "ServiceRolloutDriver.h"
+#include "ServingFeed.h"
 
 #include "../State/Raft.h"
 #include "../State/StateMachine.h"
@@ -28,6 +32,8 @@
 /** Interval of work that is not urgent: endpoint watch, expiry, membership changes. */
 constexpr std::chrono::milliseconds ChoreInterval{100};
 constexpr std::uint64_t InviteAgainMs = 500;
+/** A repair that has not ended by then is weighed anew: its newcomer may be gone. */
+constexpr std::uint64_t RepairGivenUpMs = 4000;
 /** Orphaned records settled in one go. */
 constexpr std::size_t OrphansAtOnce = 256;
 /** A quarter of the entries of a snapshot interval is kept for replicas that lag behind a little. */
@@ -87,6 +93,7 @@
     std::optional<PeerId> peer;
     std::uint64_t call = 0;
     std::uint64_t invitedMs = 0;
+    std::uint64_t startedMs = 0;
 };
 
 } // namespace
@@ -114,6 +121,7 @@
 
     // Start and stop
     StoreResult<void> start();
+    StoreResult<void> bootstrap();
     void openLinks();
     void fail(const std::string &reason);
     void checkStopped();
@@ -152,6 +160,12 @@
     bool isReachable(const std::string &replica) const;
     std::string leaderAddress() const;
 
+    // Gateways
+    void openFeed();
+    void driveRollouts();
+    void takeJoin(const Wire::Join &join);
+    void askToJoin();
+
     // Processes
     void sendUpdate(const PeerId &peer, ConnectedProcess &process, bool withDigests = false);
     void sendUpdates();
@@ -173,6 +187,9 @@
     std::unique_ptr<LogStore> store;
     std::unique_ptr<Raft> raft;
     std::unique_ptr<ReplicaLinks> links;
+    std::unique_ptr<ServingFeed> feed;
+    ServiceRolloutDriver rollouts;
+    MembershipRepair repair;
     Timer tickTimer;
     Timer choreTimer;
     std::mt19937_64 random{std::random_device{}()};
@@ -208,6 +225,7 @@
 
 StoreResult<void> ReplicaTask::Private::start()
 {
+    BOOST_OUTCOME_TRYV(this->bootstrap());
     BOOST_OUTCOME_TRY(opened,
                       LogStore::open({
                           .folder = this->settings.replica->dataFolder,
@@ -255,6 +273,21 @@
     return boost::outcome_v2::success();
 }
 
+/** The first seed makes the group, once; the others wait to be let in. */
+StoreResult<void> ReplicaTask::Private::bootstrap()
+{
+    const bool isFirst = !this->settings.seeds.empty() && this->settings.seeds.front() == this->settings.replica->address;
+    if (!this->settings.replica->bootstrap || !isFirst) {
+        return boost::outcome_v2::success();
+    }
+    const StoreResult<std::string> made = initGroup(this->settings);
+    const bool isRestart = !made && made.error().code == StoreError::Code::WrongGroup;
+    if (!made && !isRestart) {
+        return made.error();
+    }
+    return boost::outcome_v2::success();
+}
+
 void ReplicaTask::Private::openLinks()
 {
     this->links = std::make_unique<ReplicaLinks>(this->loop,
@@ -268,6 +301,7 @@
                                                      .onPeerGone =
                                                          [this](const PeerId &peer) {
                                                              this->processes.erase(peer);
+                                                             this->feed->peerGone(peer);
                                                          },
                                                      .onReply =
                                                          [this](const std::string &address, const Wire::Envelope &message) {
@@ -282,6 +316,43 @@
     this->forwarded = std::make_unique<ForwardedCalls>(*this->links, static_cast<std::uint64_t>(this->settings.timing.proposal.count()));
     this->links->setMembers(this->raft->membership());
     this->knownMembershipIndex = this->raft->log().membershipIndex();
+    this->openFeed();
+}
+
+void ReplicaTask::Private::openFeed()
+{
+    this->feed = std::make_unique<ServingFeed>(ServingFeedOptions{
+        .serving = [this]() -> const Wire::ServingState & {
+            return this->machine.serving();
+        },
+        .membership =
+            [this] {
+                return this->raft->membership();
+            },
+        .isLeader =
+            [this] {
+                return this->raft->role() == RaftRole::Leader;
+            },
+        .startRead =
+            [this] {
+                const std::uint64_t id = this->nextId++;
+                const bool started = this->raft->read(id);
+                this->scheduleFlush();
+                return started ? id : 0;
+            },
+        .send =
+            [this](const PeerId &peer, const Wire::ClusterUpdate &update) {
+                Wire::Envelope message = this->links->envelope();
+                *message.mutable_update() = update;
+                this->links->reply(peer, message);
+            },
+        .relay =
+            [this](const Wire::Announcements &announcements) {
+                Wire::Envelope message = this->links->envelope();
+                *message.mutable_announcements() = announcements;
+                this->links->sendToMembers(message);
+            },
+    });
 }
 
 void ReplicaTask::Private::fail(const std::string &reason)
@@ -325,6 +396,7 @@
     this->loop.post([this, token = this->alive, done = std::exchange(this->stopped, nullptr)] {
         if (*token) {
             this->forwarded.reset();
+            this->feed.reset();
             this->links.reset();
             done();
         }
@@ -396,6 +468,7 @@
         this->restoreState(*output.snapshot);
     }
     const std::uint64_t before = this->machine.configuration().revision();
+    const std::uint64_t servingBefore = this->machine.serving().number();
     for (const Wire::LogEntry &entry : output.committed) {
         this->apply(entry);
     }
@@ -403,6 +476,9 @@
         this->directory.revisionApplied(this->machine.configuration().revision(), this->now());
         this->sendUpdates();
     }
+    if (this->machine.serving().number() != servingBefore) {
+        this->feed->servingChanged();
+    }
     this->answerReads(output.reads);
     return !this->failed;
 }
@@ -544,6 +620,12 @@
     case Wire::Envelope::kInvite:
         this->takeInvite(peer, message.invite());
         return;
+    case Wire::Envelope::kAnnouncements:
+        this->feed->relayed(message.announcements(), this->now());
+        return;
+    case Wire::Envelope::kJoin:
+        this->takeJoin(message.join());
+        return;
     default:
         logLine(LogLevel::Warning, "message-refused", {{"from", message.sender()}, {"body", static_cast<std::int64_t>(message.body_case())}});
     }
@@ -657,6 +739,9 @@
 void ReplicaTask::Private::answerReads(const std::vector<RaftRead> &reads)
 {
     for (const RaftRead &read : reads) {
+        if (this->feed->readEnded(read.id, read.confirmed)) {
+            continue;
+        }
         const auto found = this->queries.find(read.id);
         if (found == this->queries.end()) {
             continue;
@@ -685,6 +770,8 @@
         }
     } else if (query.has_record()) {
         *reply->mutable_record() = this->machine.record(query.record().key());
+    } else if (query.serving()) {
+        *reply->mutable_serving() = this->machine.serving();
     } else if (query.has_status()) {
         *reply->mutable_status() = describeCluster(this->view());
     } else {
@@ -721,6 +808,7 @@
 
 void ReplicaTask::Private::takeHeartbeat(const PeerId &peer, const Wire::Heartbeat &heartbeat)
 {
+    this->feed->heartbeat(peer, heartbeat, this->now());
     this->directory.heard(heartbeat, this->now());
     ConnectedProcess &process = this->processes[peer];
     process.revision = heartbeat.revision();
@@ -879,6 +967,12 @@
     }
     if (this->change->change.isDone(*this->raft)) {
         this->endChange(nullptr);
+        return;
+    }
+    // A step that nobody asked for must not stand in the way of the next one, whose member may be there.
+    if (!this->change->peer && this->now() - this->change->startedMs > RepairGivenUpMs) {
+        logLine(LogLevel::Warning, "membership-repair-given-up", {{"remove", this->change->change.removed()}});
+        this->change.reset();
     }
 }
 
@@ -903,6 +997,20 @@
 
 void ReplicaTask::Private::inviteMissingSeed()
 {
+    if (this->change || this->stopping) {
+        return;
+    }
+    const std::optional<MembershipStep> step = this->repair.next(
+        this->raft->membership(),
+        [this](const std::string &replica) {
+            return replica == this->store->replica() || this->isReachable(replica);
+        },
+        this->now());
+    if (step) {
+        logLine(LogLevel::Info, "membership-repair", {{"remove", step->remove}, {"add", step->addAddress}, {"reason", step->reason}});
+        this->change.emplace(RunningChange{.change = MemberChange(step->remove, step->addAddress), .startedMs = this->now()});
+        return;
+    }
     const auto &members = this->raft->membership().members();
     const auto voters = std::count_if(members.begin(), members.end(), [](const Wire::Member &member) {
         return !member.learner();
@@ -917,7 +1025,7 @@
         }
         this->links->connectTo(seed);
         if (this->links->isConnected(seed)) {
-            this->change.emplace(RunningChange{.change = MemberChange({}, seed)});
+            this->change.emplace(RunningChange{.change = MemberChange({}, seed), .startedMs = this->now()});
             return;
         }
     }
@@ -930,6 +1038,8 @@
     const std::uint64_t nowMs = this->now();
     this->directory.expire(nowMs);
     this->forwarded->expire(nowMs);
+    this->feed->chores(nowMs);
+    this->askToJoin();
     // A leader acts on the state only once it has applied an entry of its own term, and with it all earlier ones.
     if (this->raft->role() != RaftRole::Leader || this->appliedTerm != this->raft->term()) {
         return;
@@ -938,6 +1048,53 @@
     this->settleOrphans();
     this->driveChange();
     this->inviteMissingSeed();
+    this->driveRollouts();
+}
+
+void ReplicaTask::Private::driveRollouts()
+{
+    const std::vector<Wire::SetServiceRollout> changes = this->rollouts.due(this->machine.serving(), this->feed->counts(this->now()), this->now());
+    for (const Wire::SetServiceRollout &step : changes) {
+        logLine(LogLevel::Info,
+                "service-rollout",
+                {{"service", step.service()},
+                 {"state", Wire::ServiceRolloutState_Name(step.state())},
+                 {"sharePermille", static_cast<std::uint64_t>(step.share_permille())},
+                 {"evidence", step.evidence()}});
+        Wire::Command command;
+        *command.mutable_set_service_rollout() = step;
+        this->propose(std::move(command), [](Wire::ProposeStatus, const Wire::CommandResult *) {});
+    }
+}
+
+void ReplicaTask::Private::askToJoin()
+{
+    const bool belongs = this->raft->isVoter(this->store->replica());
+    if (belongs || this->stopping || !this->repair.mayAsk(this->now())) {
+        return;
+    }
+    Wire::Envelope message = this->links->envelope();
+    message.mutable_join()->set_replica(this->store->replica());
+    message.mutable_join()->set_address(this->settings.replica->address);
+    message.mutable_join()->set_availability_zone(this->settings.availabilityZone);
+    for (const std::string &seed : this->settings.seeds) {
+        this->links->connectTo(seed);
+        this->links->sendTo(seed, message);
+    }
+}
+
+void ReplicaTask::Private::takeJoin(const Wire::Join &join)
+{
+    this->repair.asked(join, this->now());
+    if (this->raft->role() == RaftRole::Leader) {
+        return;
+    }
+    const std::string leader = this->leaderAddress();
+    if (!leader.empty()) {
+        Wire::Envelope message = this->links->envelope();
+        *message.mutable_join() = join;
+        this->links->sendTo(leader, message);
+    }
 }
 
 void ReplicaTask::Private::watchEndpoints()
@@ -996,6 +1153,32 @@
     this->d->checkStopped();
 }
 
+void ReplicaTask::announce(const Wire::EndpointAnnouncement &announcement)
+{
+    if (this->d->feed && !this->d->failed) {
+        this->d->feed->announce(announcement, this->d->now());
+    }
+}
+
+void ReplicaTask::announceLeft(const std::string &endpoint)
+{
+    if (this->d->feed && !this->d->failed) {
+        this->d->feed->announceLeft(endpoint, this->d->now());
+    }
+}
+
+bool ReplicaTask::isGroupWhole() const
+{
+    if (!this->d->raft) {
+        return false;
+    }
+    const auto &members = this->d->raft->membership().members();
+    const auto voters = std::count_if(members.begin(), members.end(), [](const Wire::Member &member) {
+        return !member.learner();
+    });
+    return static_cast<std::size_t>(voters) >= this->d->settings.seeds.size();
+}
+
 bool ReplicaTask::isLeader() const
 {
     return this->d->raft && !this->d->failed && this->d->raft->role() == RaftRole::Leader;
--- a/Apricothead/src/Coordination/ReplicaTask.h
+++ b/Apricothead/src/Coordination/ReplicaTask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../Protocol/Messages.h"
 #include "../Protocol/Settings.h"
 #include "../State/LogStore.h"
 
@@ -62,6 +63,14 @@
     /** Takes no more proposals, hands leadership over, and calls \a stopped once nothing is left to do. */
     void stop(std::function<void()> stopped);
 
+    /** An endpoint's heartbeat reached this instance. */
+    void announce(const Wire::EndpointAnnouncement &announcement);
+    /** An endpoint said at this instance that it ends. */
+    void announceLeft(const std::string &endpoint);
+
+    /** \returns true once the group has as many voters as there are seeds */
+    bool isGroupWhole() const;
+
     bool isLeader() const;
     /** \returns the identity in the data folder */
     std::string replica() const;
--- /dev/null
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -0,0 +1,291 @@
+#include "DirectEndpoints.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Apricothead {
+namespace {
+
+/** Weight of the newest attempt in the share of failures: about ten attempts count. */
+constexpr double FailedWeight = 0.1;
+/** Weight of a new measurement of an engine's pace. */
+constexpr double PaceWeight = 0.05;
+/** A prompt of fewer tokens says more of waiting than of an engine's pace. */
+constexpr std::uint64_t LeastTimedTokens = 1000;
+constexpr double SlowestTokensPerMs = 5;
+constexpr double FastestTokensPerMs = 200;
+/** An endpoint ejected again and again stays away for at most this many times the first time. */
+constexpr unsigned MostEjectionDoublings = 2;
+
+std::uint64_t hashOf(std::uint64_t seed, const void *data, std::size_t size)
+{
+    return XXH3_64bits_withSeed(data, size, seed);
+}
+
+/** Names the prompt up to and including each shared part; the same parts under another model are another prompt. */
+std::vector<std::uint64_t> chainOf(const EndpointQuestion &question)
+{
+    std::vector<std::uint64_t> chain;
+    std::uint64_t hash = hashOf(0, question.model.data(), question.model.size());
+    for (std::size_t index = 0; index + 1 < question.prompt.size(); ++index) {
+        hash = hashOf(hash, &question.prompt[index].id, sizeof(question.prompt[index].id));
+        chain.push_back(hash);
+    }
+    return chain;
+}
+
+std::uint64_t allTokens(const std::vector<PromptPart> &prompt)
+{
+    std::uint64_t total = 0;
+    for (const PromptPart &part : prompt) {
+        total += part.tokens;
+    }
+    return total;
+}
+
+bool isFailure(AttemptEnd end)
+{
+    return end == AttemptEnd::Failed || end == AttemptEnd::Broken || end == AttemptEnd::Unreachable;
+}
+
+} // namespace
+
+std::uint64_t sharedTokens(const std::vector<PromptPart> &prompt)
+{
+    return prompt.empty() ? 0 : allTokens(prompt) - prompt.back().tokens;
+}
+
+DirectEndpoints::DirectEndpoints(DirectEndpointsOptions given) : options(std::move(given)), tokensPerMs(options.tokensPerMs)
+{ }
+
+void DirectEndpoints::setGateways(std::uint32_t count)
+{
+    this->gateways = std::max<std::uint32_t>(1, count);
+}
+
+void DirectEndpoints::announce(const Wire::EndpointAnnouncement &announcement)
+{
+    const auto found = this->known.find(announcement.endpoint());
+    if (found == this->known.end() && announcement.state() != Wire::ANNOUNCED_STATE_READY) {
+        return;
+    }
+    if (found != this->known.end() && found->second.announcement.born_ms() < announcement.born_ms()) {
+        // A new incarnation has no history; what still runs belongs to the former one.
+        found->second = Known{.running = found->second.running, .awaitingTokens = found->second.awaitingTokens};
+    }
+    Known &endpoint = this->known[announcement.endpoint()];
+    endpoint.announcement = announcement;
+    const bool isOver = announcement.state() == Wire::ANNOUNCED_STATE_GONE && endpoint.running == 0;
+    if (isOver) {
+        this->known.erase(announcement.endpoint());
+    }
+}
+
+std::vector<const DirectEndpoints::Known *> DirectEndpoints::usable(const EndpointQuestion &question, bool wanted, bool ejectedToo, std::uint64_t nowMs) const
+{
+    std::vector<const Known *> found;
+    for (const auto &[name, endpoint] : this->known) {
+        const Wire::EndpointAnnouncement &announcement = endpoint.announcement;
+        if (announcement.state() != Wire::ANNOUNCED_STATE_READY || announcement.service() != question.service) {
+            continue;
+        }
+        if (question.versions.wants(announcement.version()) != wanted || (!ejectedToo && endpoint.ejectedUntilMs > nowMs)) {
+            continue;
+        }
+        if (std::find(question.avoid.begin(), question.avoid.end(), name) != question.avoid.end()) {
+            continue;
+        }
+        found.push_back(&endpoint);
+    }
+    return found;
+}
+
+std::string DirectEndpoints::homeOf(const std::vector<const Known *> &candidates, const EndpointQuestion &question) const
+{
+    const std::vector<std::uint64_t> chain = chainOf(question);
+    if (chain.empty()) {
+        return {};
+    }
+    const Known *home = nullptr;
+    std::uint64_t highest = 0;
+    for (const Known *endpoint : candidates) {
+        const std::string &name = endpoint->announcement.endpoint();
+        const std::uint64_t weight = hashOf(chain.back(), name.data(), name.size());
+        if (home == nullptr || weight > highest) {
+            home = endpoint;
+            highest = weight;
+        }
+    }
+    return home == nullptr ? std::string() : home->announcement.endpoint();
+}
+
+std::uint64_t DirectEndpoints::cachedTokens(const Known &endpoint, const EndpointQuestion &question) const
+{
+    std::uint64_t cached = 0;
+    const std::vector<std::uint64_t> chain = chainOf(question);
+    for (std::size_t index = 0; index < chain.size(); ++index) {
+        if (!endpoint.prefixUsedMs.contains(chain[index])) {
+            break;
+        }
+        cached += question.prompt[index].tokens;
+    }
+    return cached;
+}
+
+DirectEndpoints::Scored DirectEndpoints::score(const Known &endpoint, const EndpointQuestion &question, const std::string &home) const
+{
+    Scored scored{.endpoint = &endpoint, .isHome = endpoint.announcement.endpoint() == home};
+    const std::uint64_t cached = scored.isHome ? sharedTokens(question.prompt) : this->cachedTokens(endpoint, question);
+    scored.uncachedTokens = allTokens(question.prompt) - cached;
+    const double everywhere = this->gateways;
+    // Own work stands for that of all gateways: it is never outdated, and callers are spread evenly enough.
+    const double waiting = static_cast<double>(endpoint.awaitingTokens) * everywhere / this->tokensPerMs;
+    scored.expectedMs = waiting + question.pace * static_cast<double>(scored.uncachedTokens) / this->tokensPerMs
+        + this->options.perRunningMs * static_cast<double>(endpoint.running) * everywhere;
+    if (endpoint.announcement.availability_zone() != this->options.availabilityZone) {
+        scored.expectedMs += this->options.otherZoneMs;
+    }
+    return scored;
+}
+
+std::optional<EndpointChoice> DirectEndpoints::choose(const EndpointQuestion &question, std::uint64_t nowMs) const
+{
+    std::vector<const Known *> candidates = this->usable(question, true, false, nowMs);
+    std::string reason;
+    if (candidates.empty()) {
+        candidates = this->usable(question, true, true, nowMs);
+        reason = "last-resort";
+    }
+    if (candidates.empty() && question.versions.mayFallBack) {
+        candidates = this->usable(question, false, false, nowMs);
+        reason = "other-version";
+    }
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    const std::string home = this->homeOf(candidates, question);
+    Scored best;
+    for (const Known *endpoint : candidates) {
+        const Scored scored = this->score(*endpoint, question, home);
+        if (best.endpoint == nullptr || scored.expectedMs < best.expectedMs) {
+            best = scored;
+        }
+    }
+    if (reason.empty()) {
+        reason = best.isHome ? "home" : home.empty() ? "least-loaded" : "spill";
+    }
+    const Wire::EndpointAnnouncement &announcement = best.endpoint->announcement;
+    return EndpointChoice{
+        .endpoint = announcement.endpoint(),
+        .address = announcement.address(),
+        .version = announcement.version(),
+        .expectedMs = best.expectedMs,
+        .uncachedTokens = best.uncachedTokens,
+        .reason = reason,
+    };
+}
+
+void DirectEndpoints::started(const EndpointQuestion &question, const EndpointChoice &choice, std::uint64_t nowMs)
+{
+    Known &endpoint = this->known[choice.endpoint];
+    ++endpoint.running;
+    endpoint.awaitingTokens += choice.uncachedTokens;
+    for (const std::uint64_t prefix : chainOf(question)) {
+        endpoint.prefixUsedMs[prefix] = nowMs;
+    }
+    if (endpoint.prefixUsedMs.size() <= this->options.prefixes) {
+        return;
+    }
+    const auto oldest = std::min_element(endpoint.prefixUsedMs.begin(), endpoint.prefixUsedMs.end(), [](const auto &left, const auto &right) {
+        return left.second < right.second;
+    });
+    endpoint.prefixUsedMs.erase(oldest);
+}
+
+void DirectEndpoints::answered(const EndpointChoice &choice, std::uint64_t tookMs)
+{
+    const auto found = this->known.find(choice.endpoint);
+    if (found == this->known.end()) {
+        return;
+    }
+    Known &endpoint = found->second;
+    endpoint.awaitingTokens -= std::min(endpoint.awaitingTokens, choice.uncachedTokens);
+    const bool isTimed = choice.uncachedTokens >= LeastTimedTokens && tookMs > 0;
+    if (isTimed) {
+        const double measured = static_cast<double>(choice.uncachedTokens) / static_cast<double>(tookMs);
+        const double bounded = std::clamp(measured, SlowestTokensPerMs, FastestTokensPerMs);
+        this->tokensPerMs += PaceWeight * (bounded - this->tokensPerMs);
+    }
+}
+
+bool DirectEndpoints::mayEject(const std::string &service, std::uint64_t nowMs) const
+{
+    std::size_t ready = 0;
+    std::size_t ejected = 0;
+    for (const auto &[name, endpoint] : this->known) {
+        if (endpoint.announcement.service() != service || endpoint.announcement.state() != Wire::ANNOUNCED_STATE_READY) {
+            continue;
+        }
+        ++ready;
+        ejected += endpoint.ejectedUntilMs > nowMs ? 1 : 0;
+    }
+    return 2 * (ejected + 1) <= ready + 1;
+}
+
+void DirectEndpoints::eject(Known &endpoint, std::uint64_t nowMs) const
+{
+    if (endpoint.ejectedUntilMs > nowMs || !this->mayEject(endpoint.announcement.service(), nowMs)) {
+        return;
+    }
+    endpoint.ejectedUntilMs = nowMs + (this->options.ejectMs << std::min(endpoint.ejections, MostEjectionDoublings));
+    ++endpoint.ejections;
+    endpoint.failedInRow = 0;
+    endpoint.failedShare = 0;
+}
+
+void DirectEndpoints::ended(const EndpointChoice &choice, AttemptEnd end, bool wasAnswered, std::uint64_t nowMs)
+{
+    const auto found = this->known.find(choice.endpoint);
+    if (found == this->known.end()) {
+        return;
+    }
+    Known &endpoint = found->second;
+    endpoint.running -= std::min<std::uint64_t>(endpoint.running, 1);
+    if (!wasAnswered) {
+        endpoint.awaitingTokens -= std::min(endpoint.awaitingTokens, choice.uncachedTokens);
+    }
+    if (end == AttemptEnd::Whole) {
+        endpoint.failedInRow = 0;
+        endpoint.ejections = 0;
+    }
+    if (end == AttemptEnd::Whole || isFailure(end)) {
+        endpoint.failedShare += FailedWeight * ((isFailure(end) ? 1 : 0) - endpoint.failedShare);
+    }
+    if (isFailure(end)) {
+        ++endpoint.failedInRow;
+    }
+    const bool isUnreachable = end == AttemptEnd::Unreachable;
+    if (isUnreachable || endpoint.failedInRow >= this->options.failuresInRow || endpoint.failedShare > this->options.failedShare) {
+        this->eject(endpoint, nowMs);
+    }
+    const bool isOver = endpoint.announcement.state() == Wire::ANNOUNCED_STATE_GONE && endpoint.running == 0;
+    if (isOver) {
+        this->known.erase(found);
+    }
+}
+
+bool DirectEndpoints::isReady(const std::string &name) const
+{
+    const auto found = this->known.find(name);
+    return found != this->known.end() && found->second.announcement.state() == Wire::ANNOUNCED_STATE_READY;
+}
+
+std::size_t DirectEndpoints::readyCount(const std::string &service) const
+{
+    return static_cast<std::size_t>(std::count_if(this->known.begin(), this->known.end(), [&service](const auto &entry) {
+        return entry.second.announcement.service() == service && entry.second.announcement.state() == Wire::ANNOUNCED_STATE_READY;
+    }));
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include "VersionSplit.h"
+
+#include "../Protocol/Messages.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Apricothead {
+
+/** \class PromptPart
+ * \ingroup Decisions_Module
+ * \brief A part of a prompt that other requests may share.
+ */
+struct PromptPart {
+    std::uint64_t id = 0;
+    std::uint64_t tokens = 0;
+
+    bool operator==(const PromptPart &) const = default;
+};
+
+/** \class EndpointQuestion
+ * \ingroup Decisions_Module
+ * \brief What a gateway asks when it looks for an endpoint for one attempt.
+ */
+struct EndpointQuestion {
+    std::string service;
+    VersionRule versions;
+    /** Endpoints that were tried already. */
+    std::vector<std::string> avoid;
+    /** Empty for a plain service. */
+    std::vector<PromptPart> prompt;
+    std::string model;
+    /** Time of a token with this model over that of the model with pace 1. */
+    double pace = 1;
+};
+
+/** \class EndpointChoice
+ * \ingroup Decisions_Module
+ * \brief The endpoint of one attempt, and what was expected of it.
+ */
+struct EndpointChoice {
+    std::string endpoint;
+    std::string address;
+    std::string version;
+    double expectedMs = 0;
+    std::uint64_t uncachedTokens = 0;
+    /** \c home, \c spill, \c least-loaded or \c last-resort. */
+    std::string reason;
+
+    bool operator==(const EndpointChoice &) const = default;
+};
+
+/** \enum AttemptEnd
+ * \ingroup Decisions_Module
+ * \brief How an attempt ended, as far as it speaks of its endpoint.
+ */
+enum class AttemptEnd {
+    Whole,
+    /** The endpoint answered with an error of its own. */
+    Failed,
+    /** The connection broke, the answer was cut or spoiled, or nothing came. */
+    Broken,
+    /** No connection could be made. */
+    Unreachable,
+    /** The endpoint said that it did not run the request. */
+    Refused,
+    /** The caller left or the time was up. */
+    Dropped,
+};
+
+/** \class DirectEndpointsOptions
+ * \ingroup Decisions_Module
+ * \brief Bounds of DirectEndpoints.
+ */
+struct DirectEndpointsOptions {
+    std::string availabilityZone;
+    /** Prompt tokens that an engine reads in a ms, until measured. */
+    double tokensPerMs = 40;
+    /** What another availability zone adds; a few hops. */
+    double otherZoneMs = 4;
+    /** Running requests slow each other: time that each adds to a first event. */
+    double perRunningMs = 2;
+    /** Failures in a row that eject an endpoint. */
+    unsigned failuresInRow = 3;
+    /** Share of failures, over about ten attempts, that ejects. */
+    double failedShare = 0.35;
+    std::uint64_t ejectMs = 2000;
+    /** Shared prompts remembered for each endpoint: more than an engine's memory holds. */
+    std::size_t prefixes = 512;
+};
+
+/** \class DirectEndpoints
+ * \ingroup Decisions_Module
+ * \brief The endpoints that a gateway sends work to by itself: who they are, how they do, and which one is next.
+ *
+ * Answers these loads: shared prompts (a rendezvous hash of the shared parts names a home, so gateways agree without a message, and the work
+ * spills to others when waiting at home costs more than reading the prompt anew), endpoints that fail, hang or go dark (ejected from few
+ * samples, never more than half of a service), uneven gateways (own work counts for all gateways).
+ */
+class DirectEndpoints
+{
+public:
+    explicit DirectEndpoints(DirectEndpointsOptions options = {});
+
+    void setGateways(std::uint32_t gateways);
+
+    void announce(const Wire::EndpointAnnouncement &announcement);
+
+    /** \returns nothing when no endpoint may take the request */
+    std::optional<EndpointChoice> choose(const EndpointQuestion &question, std::uint64_t nowMs) const;
+
+    /** An attempt was sent. \sa ended() */
+    void started(const EndpointQuestion &question, const EndpointChoice &choice, std::uint64_t nowMs);
+    /** The first event or the answer's head came after \a tookMs. */
+    void answered(const EndpointChoice &choice, std::uint64_t tookMs);
+    /** \a wasAnswered: whether answered() was called for it. */
+    void ended(const EndpointChoice &choice, AttemptEnd end, bool wasAnswered, std::uint64_t nowMs);
+
+    /** \returns whether \a endpoint is known and was not said to be leaving, gone or silent */
+    bool isReady(const std::string &endpoint) const;
+
+    /** \returns endpoints of \a service that are ready */
+    std::size_t readyCount(const std::string &service) const;
+
+private:
+    struct Known {
+        Wire::EndpointAnnouncement announcement;
+        std::uint64_t running = 0;
+        std::uint64_t awaitingTokens = 0;
+        unsigned failedInRow = 0;
+        unsigned ejections = 0;
+        double failedShare = 0;
+        std::uint64_t ejectedUntilMs = 0;
+        std::unordered_map<std::uint64_t, std::uint64_t> prefixUsedMs;
+    };
+    struct Scored {
+        const Known *endpoint = nullptr;
+        double expectedMs = 0;
+        std::uint64_t uncachedTokens = 0;
+        bool isHome = false;
+    };
+    Scored score(const Known &endpoint, const EndpointQuestion &question, const std::string &home) const;
+    std::string homeOf(const std::vector<const Known *> &usable, const EndpointQuestion &question) const;
+    std::vector<const Known *> usable(const EndpointQuestion &question, bool wanted, bool ejectedToo, std::uint64_t nowMs) const;
+    std::uint64_t cachedTokens(const Known &endpoint, const EndpointQuestion &question) const;
+    void eject(Known &endpoint, std::uint64_t nowMs) const;
+    bool mayEject(const std::string &service, std::uint64_t nowMs) const;
+
+    DirectEndpointsOptions options;
+    std::uint32_t gateways = 4;
+    double tokensPerMs = 0;
+    std::map<std::string, Known> known;
+};
+
+/** \returns tokens of the parts of \a prompt that other requests may share: all but the last part */
+std::uint64_t sharedTokens(const std::vector<PromptPart> &prompt);
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Decisions/ServiceRolloutJudge.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "../Protocol/Messages.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Apricothead {
+
+/** \class ServiceRolloutOptions
+ * \ingroup Decisions_Module
+ * \brief How carefully a service is moved to another version within the time that its operator gave.
+ */
+struct ServiceRolloutOptions {
+    /** Share of the requests that judge the new version: two thirds of the exposure that operators usually allow (15%). */
+    unsigned canaryPermille = 100;
+    /** Part of the time during which the share stays at the canary's: half is promised to sessions, the rest is for drift of clocks. */
+    double canaryPart = 0.54;
+    /** The share grows to all within this part of the time; in flight work of the former version ends in what is left. */
+    double fullPart = 0.72;
+    /** A roll-out is completed at the latest this long before its end, although the former version still answers. */
+    std::uint64_t marginMs = 1200;
+    /** Answers of the new version before the share grows. */
+    std::uint64_t leastAnswers = 15;
+    /** Failed answers that can halt a roll-out: two may be chance. */
+    std::uint64_t leastFailed = 3;
+    /** Excess share of failed answers that halts; bad versions fail far more often. */
+    double failedExcess = 0.12;
+    /** Answers are slow when they take this many times the former version's mean; bad versions take eight times. */
+    double slowFactor = 3.0;
+    std::uint64_t leastTimed = 6;
+};
+
+/** \class RolloutTally
+ * \ingroup Decisions_Module
+ * \brief What is known of one version on one route.
+ */
+struct RolloutTally {
+    std::uint64_t answers = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t open = 0;
+    double timeSumMs = 0;
+
+    bool operator==(const RolloutTally &) const = default;
+};
+
+/** \class ServiceRolloutJudge
+ * \ingroup Decisions_Module
+ * \brief Decides the next step of a service's roll-out from what the gateways counted.
+ *
+ * Answers this load: a canary share on all routes at once, judged route by route, since a version may be bad on one only; then growth in a few
+ * steps, under watch, since a version may be bad under load only. A gateway that restarts counts anew.
+ */
+class ServiceRolloutJudge
+{
+public:
+    ServiceRolloutJudge() = default;
+    explicit ServiceRolloutJudge(ServiceRolloutOptions options);
+
+    /** Takes the counters of one gateway, which only grow while it runs. */
+    void count(const std::string &gateway, const std::vector<Wire::VersionCount> &versions);
+
+    /** \a elapsedMs: time since the order. \returns the change to make, with its reason as evidence; without a state when there is none */
+    Wire::SetServiceRollout decide(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs) const;
+
+private:
+    struct Key {
+        std::string service;
+        std::string version;
+        std::string route;
+        auto operator<=>(const Key &) const = default;
+    };
+    std::string fault(const Wire::ServiceRollout &rollout) const;
+    RolloutTally sum(const std::string &service, const std::string &target, bool isTarget, const std::string *route) const;
+    unsigned wantedShare(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs, std::uint64_t answers) const;
+
+    ServiceRolloutOptions options;
+    std::map<std::string, std::map<Key, Wire::VersionCount>> lastCounts;
+    std::map<Key, RolloutTally> tallies;
+};
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Gateway/EventSplitter.cpp
@@ -0,0 +1,64 @@
+#include "EventSplitter.h"
+
+namespace Apricothead {
+namespace {
+
+constexpr std::string_view Separator = "\n\n";
+constexpr std::string_view IdField = "id:";
+
+std::string idOf(std::string_view event)
+{
+    while (!event.empty()) {
+        const std::size_t end = std::min(event.find('\n'), event.size());
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(std::min(end + 1, event.size()));
+        if (!line.starts_with(IdField)) {
+            continue;
+        }
+        line.remove_prefix(IdField.size());
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        while (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        return std::string(line);
+    }
+    return {};
+}
+
+} // namespace
+
+void EventSplitter::append(std::string_view bytes)
+{
+    if (this->start > 0) {
+        this->pending.erase(0, this->start);
+        this->start = 0;
+    }
+    this->pending.append(bytes);
+}
+
+std::optional<StreamEvent> EventSplitter::next()
+{
+    const std::size_t end = this->pending.find(Separator, this->start);
+    if (end == std::string::npos) {
+        return std::nullopt;
+    }
+    StreamEvent event{.bytes = this->pending.substr(this->start, end + Separator.size() - this->start)};
+    event.id = idOf(event.bytes);
+    this->start = end + Separator.size();
+    return event;
+}
+
+bool EventSplitter::hasRest() const
+{
+    return this->start < this->pending.size();
+}
+
+void EventSplitter::clear()
+{
+    this->pending.clear();
+    this->start = 0;
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -0,0 +1,501 @@
+#include "ForwardRun.h"
+
+#include "../Transport/Log.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace Apricothead {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusRedirect = 300;
+constexpr unsigned StatusServerError = 500;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusTimeout = 504;
+
+/** Connections within a region take a few ms, and the endpoint 1 ms; a packet that is lost is sent again after 200 ms. */
+constexpr milliseconds ConnectTimeout{450};
+/** Unacknowledged bytes break a connection that something on the way has forgotten. */
+constexpr milliseconds UnacknowledgedTimeout{1200};
+/** How often a run looks at the silence of its endpoint. */
+constexpr milliseconds WatchInterval{150};
+/** A repeatable request goes elsewhere after this many latency objectives without an answer. */
+constexpr unsigned SilentObjectives = 3;
+/** A stream without its first event goes elsewhere after its latency objective and this many times what was expected. */
+constexpr double SilentExpectations = 3;
+/** A stream of an endpoint that answers others goes elsewhere after this pause: longer than the pauses of a preemption. */
+constexpr std::uint64_t LongestPauseMs = 2500;
+/** Attempts that did not run are free for the endpoint; still, each costs the caller time. */
+constexpr unsigned MostSends = 5;
+/** With less time left another attempt can't end. */
+constexpr std::uint64_t LeastLeftMs = 30;
+/** A caller is told to come back after this part of the time left. */
+constexpr double RetryAfterPart = 0.15;
+constexpr std::uint64_t MostRetryAfterMs = 1500;
+
+std::optional<std::uint64_t> numberOf(const std::string &id)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(id.data(), id.data() + id.size(), number);
+    if (error != std::errc() || end != id.data() + id.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+} // namespace
+
+ForwardRun::ForwardRun(GatewayContext &givenContext,
+                       ForwardRequest givenRequest,
+                       std::shared_ptr<HttpReply> givenReply,
+                       std::shared_ptr<const PlanIndex> givenPlan,
+                       const Wire::PlanRoute *givenRoute,
+                       const Wire::PlanOrganisation *givenOrganisation)
+    : context(givenContext)
+    , request(std::move(givenRequest))
+    , reply(std::move(givenReply))
+    , plan(std::move(givenPlan))
+    , route(*givenRoute)
+    , organisation(givenOrganisation)
+    , deadlineTimer(context.loop,
+                    [this] {
+                        this->giveUp("deadline");
+                    })
+    , watchTimer(context.loop, [this] {
+        this->watch();
+    })
+{ }
+
+ForwardRun::~ForwardRun()
+{
+    *this->alive = false;
+}
+
+std::uint64_t ForwardRun::now() const
+{
+    return this->context.loop.nowMs();
+}
+
+std::uint64_t ForwardRun::leftMs() const
+{
+    const std::uint64_t nowMs = this->now();
+    return this->deadlineMs > nowMs ? this->deadlineMs - nowMs : 0;
+}
+
+bool ForwardRun::isStreaming() const
+{
+    return this->route.repeat() == Wire::REPEAT_RULE_STREAM;
+}
+
+void ForwardRun::start()
+{
+    this->arrivedMs = this->now();
+    std::uint64_t waitMs = this->route.timeout_ms();
+    if (this->request.patienceMs) {
+        waitMs = std::min(waitMs, *this->request.patienceMs);
+    }
+    this->deadlineMs = this->arrivedMs + waitMs;
+    this->lastEventId = this->request.lastEventId;
+    const std::string &drawn = this->request.session.empty() ? this->request.id : this->request.session;
+    this->draw = XXH3_64bits(drawn.data(), drawn.size());
+    this->service = PlanIndex::serviceFor(this->route, XXH3_64bits_withSeed(this->request.id.data(), this->request.id.size(), 1));
+    this->context.retries.noteRequest(this->service, this->arrivedMs);
+    this->reply->onDisconnect([this, token = this->alive] {
+        if (*token) {
+            this->callerLeft();
+        }
+    });
+    this->deadlineTimer.startOnce(milliseconds(waitMs));
+    this->watchTimer.startRepeating(WatchInterval);
+    this->dispatch();
+}
+
+// ---- sending ----
+
+EndpointQuestion ForwardRun::question()
+{
+    return {
+        .service = this->service,
+        .versions = this->context.versions.rule(this->service, this->request.session, this->draw, this->now()),
+        .avoid = this->tried,
+        .prompt = this->request.prompt,
+        .model = this->request.anyModel ? this->modelFor() : this->request.model,
+    };
+}
+
+std::string ForwardRun::modelFor() const
+{
+    return this->route.models().empty() ? std::string() : this->route.models(this->route.models_size() - 1);
+}
+
+unsigned ForwardRun::priority() const
+{
+    constexpr unsigned Least = 9;
+    const unsigned wanted = this->organisation != nullptr ? this->organisation->priority() : this->route.priority();
+    return std::min(Least, wanted);
+}
+
+void ForwardRun::dispatch()
+{
+    if (this->leftMs() < LeastLeftMs) {
+        this->giveUp("deadline");
+        return;
+    }
+    const EndpointQuestion asked = this->question();
+    const std::optional<EndpointChoice> choice = this->context.endpoints.choose(asked, this->now());
+    if (!choice) {
+        this->refuse("no-endpoint");
+        return;
+    }
+    this->send(asked, *choice);
+}
+
+HttpCallOptions ForwardRun::callOptions(const EndpointChoice &choice)
+{
+    const DispatchTerms terms{
+        .endpoint = choice.endpoint,
+        .organisation = this->organisation == nullptr ? std::string() : this->organisation->name(),
+        .leftMs = this->leftMs(),
+        .priority = this->priority(),
+        .model = this->request.anyModel ? this->modelFor() : std::string(),
+        .lastEventId = this->lastEventId,
+    };
+    return {
+        .method = this->request.method,
+        .url = "http://" + choice.address + this->request.target,
+        .headers = this->context.dialect.encode(this->request, terms),
+        .body = this->request.body,
+        .connectTimeout = std::min(ConnectTimeout, milliseconds(std::max<std::uint64_t>(1, this->leftMs()))),
+        .keepConnection = true,
+        .unacknowledged = UnacknowledgedTimeout,
+        .onHead =
+            [this](unsigned status, const HttpHeaders &headers) {
+                this->takeHead(status, headers);
+            },
+        .onData =
+            [this](std::string_view bytes) {
+                this->takeBytes(bytes);
+            },
+        .onDone =
+            [this](const HttpResult &result) {
+                this->ended(result);
+            },
+    };
+}
+
+void ForwardRun::send(const EndpointQuestion &asked, const EndpointChoice &choice)
+{
+    ++this->sends;
+    this->tried.push_back(choice.endpoint);
+    this->attempt = std::make_unique<Attempt>();
+    this->attempt->question = asked;
+    this->attempt->choice = choice;
+    this->attempt->startedMs = this->now();
+    this->attempt->heardMs = this->attempt->startedMs;
+    this->context.endpoints.started(asked, choice, this->now());
+    this->context.versions.note(this->service, this->request.session, choice.version, this->now());
+    this->context.counts.started(this->service, choice.version, this->route.name());
+    logLine(LogLevel::Info,
+            "request-sent",
+            {{"request", this->request.id},
+             {"route", this->route.name()},
+             {"endpoint", choice.endpoint},
+             {"version", choice.version},
+             {"model", asked.model},
+             {"reason", choice.reason},
+             {"expectedMs", choice.expectedMs},
+             {"attempt", static_cast<std::uint64_t>(this->sends)},
+             {"leftMs", this->leftMs()},
+             {"revision", this->plan->revision()},
+             {"leaseAgeMs", this->context.view->leaseAgeMs()}});
+    this->attempt->call = this->context.client.start(this->callOptions(choice));
+}
+
+// ---- what comes back ----
+
+void ForwardRun::takeHead(unsigned status, const HttpHeaders &headers)
+{
+    Attempt &current = *this->attempt;
+    current.head = this->context.dialect.readHead(status, headers);
+    current.hasHead = true;
+    current.heardMs = this->now();
+    const bool isOther = !current.head.requestId.empty() && current.head.requestId != this->request.id;
+    if (isOther || current.head.isEncoded || (ForwardRun::isSuccess(current.head) && (!current.head.isSigned || current.head.requestId.empty()))) {
+        // Not this request's answer, or not the endpoint's: nothing of it may be used.
+        this->endAttempt(AttemptEnd::Broken, Verdict::MayHaveRun, "answer-spoiled");
+    }
+}
+
+bool ForwardRun::isSuccess(const EndpointAnswerHead &head)
+{
+    return head.status >= StatusOk && head.status < StatusRedirect;
+}
+
+void ForwardRun::takeBytes(std::string_view bytes)
+{
+    Attempt &current = *this->attempt;
+    current.heardMs = this->now();
+    if (!this->isStreaming() || !ForwardRun::isSuccess(current.head)) {
+        current.body.append(bytes);
+        return;
+    }
+    current.events.append(bytes);
+    this->takeEvents();
+}
+
+void ForwardRun::takeEvents()
+{
+    Attempt &current = *this->attempt;
+    while (const std::optional<StreamEvent> event = current.events.next()) {
+        if (!this->passEvent(*event)) {
+            this->endAttempt(AttemptEnd::Broken, Verdict::MayHaveRun, "event-out-of-order");
+            return;
+        }
+    }
+}
+
+bool ForwardRun::passEvent(const StreamEvent &event)
+{
+    const std::optional<std::uint64_t> number = numberOf(event.id);
+    const std::optional<std::uint64_t> last = numberOf(this->lastEventId);
+    if (number && last && *number != *last + 1) {
+        logLine(LogLevel::Warning, "event-out-of-order", {{"request", this->request.id}, {"id", event.id}, {"last", this->lastEventId}});
+        return false;
+    }
+    this->noteAnswered(false);
+    if (!this->isStreamStarted) {
+        this->isStreamStarted = true;
+        this->reply->startStream(this->attempt->head.status, this->attempt->head.headers);
+    }
+    if (!event.id.empty()) {
+        this->lastEventId = event.id;
+    }
+    this->lastEventMs = this->now();
+    this->reply->write(event.bytes);
+    return true;
+}
+
+void ForwardRun::noteAnswered(bool failed)
+{
+    Attempt &current = *this->attempt;
+    if (std::exchange(current.wasAnswered, true)) {
+        return;
+    }
+    const std::uint64_t tookMs = this->now() - current.startedMs;
+    this->context.endpoints.answered(current.choice, tookMs);
+    this->context.counts.answered(this->service, current.choice.version, this->route.name(), failed, static_cast<double>(tookMs));
+}
+
+void ForwardRun::ended(const HttpResult &result)
+{
+    Attempt &current = *this->attempt;
+    if (result.neverSent) {
+        this->endAttempt(AttemptEnd::Unreachable, Verdict::NotRun, "unreachable");
+        return;
+    }
+    if (current.hasHead && current.head.isNotRun && result.whole) {
+        this->endAttempt(AttemptEnd::Refused, Verdict::NotRun, "endpoint-refused");
+        return;
+    }
+    if (!result.whole || !current.hasHead) {
+        const std::string why = current.hasHead ? "answer-cut" : "no-answer";
+        this->endAttempt(AttemptEnd::Broken, Verdict::MayHaveRun, why);
+        return;
+    }
+    if (current.head.status >= StatusServerError) {
+        this->noteAnswered(true);
+        this->endAttempt(AttemptEnd::Failed, Verdict::Ran, "endpoint-failed");
+        return;
+    }
+    if (this->isStreaming() && ForwardRun::isSuccess(current.head)) {
+        if (current.events.hasRest() || !this->isStreamStarted) {
+            this->endAttempt(AttemptEnd::Broken, Verdict::MayHaveRun, "stream-cut");
+            return;
+        }
+        this->context.endpoints.ended(current.choice, AttemptEnd::Whole, true, this->now());
+        this->context.counts.ended(this->service, current.choice.version, this->route.name());
+        this->reply->finish();
+        this->finished(current.head.status, "whole");
+        return;
+    }
+    this->noteAnswered(false);
+    this->context.endpoints.ended(current.choice, AttemptEnd::Whole, true, this->now());
+    this->context.counts.ended(this->service, current.choice.version, this->route.name());
+    this->passWhole(current.head, std::move(current.body));
+}
+
+void ForwardRun::passWhole(const EndpointAnswerHead &head, std::string body)
+{
+    if (this->isStreamStarted) {
+        this->reply->abort();
+    } else {
+        this->reply->send(head.status, head.headers, std::move(body));
+    }
+    this->finished(head.status, "endpoint");
+}
+
+// ---- what next ----
+
+bool ForwardRun::mayTryAgain(Verdict last) const
+{
+    if (this->sends >= MostSends || this->leftMs() < LeastLeftMs) {
+        return false;
+    }
+    if (last == Verdict::NotRun) {
+        return true;
+    }
+    const bool mayRepeat = this->route.repeat() == Wire::REPEAT_RULE_REPEATABLE || (this->isStreaming() && this->route.resumable());
+    return mayRepeat && this->runs < this->route.max_attempts();
+}
+
+void ForwardRun::endAttempt(AttemptEnd end, Verdict last, const std::string &why)
+{
+    Attempt &current = *this->attempt;
+    current.call.reset();
+    this->context.endpoints.ended(current.choice, end, current.wasAnswered, this->now());
+    this->context.counts.ended(this->service, current.choice.version, this->route.name());
+    this->runs += last == Verdict::NotRun ? 0 : 1;
+    this->verdict = combined(this->verdict, last);
+    logLine(LogLevel::Info,
+            "attempt-ended",
+            {{"request", this->request.id},
+             {"endpoint", current.choice.endpoint},
+             {"why", why},
+             {"verdict", std::string(verdictName(last))},
+             {"status", static_cast<std::uint64_t>(current.head.status)},
+             {"tookMs", this->now() - current.startedMs}});
+    this->context.metrics.count("attempts_ended_total", why);
+    // A connection that never took a byte costs the endpoint nothing.
+    const bool mayAgain = this->mayTryAgain(last) && (end == AttemptEnd::Unreachable || this->context.retries.take(this->service, this->now()));
+    const bool isEndpointsAnswer = end == AttemptEnd::Failed && !this->isStreamStarted;
+    EndpointAnswerHead head = current.head;
+    std::string body = std::move(current.body);
+    this->endedAttempts.push_back(std::move(this->attempt));
+    if (mayAgain) {
+        this->dispatch();
+        return;
+    }
+    if (isEndpointsAnswer) {
+        this->passWhole(head, std::move(body));
+        return;
+    }
+    this->refuse(why);
+}
+
+void ForwardRun::watch()
+{
+    const bool mayRepeat = this->route.repeat() == Wire::REPEAT_RULE_REPEATABLE || (this->isStreaming() && this->route.resumable());
+    if (!this->attempt || !mayRepeat) {
+        return;
+    }
+    const std::uint64_t nowMs = this->now();
+    const std::uint64_t silentMs = nowMs - this->attempt->heardMs;
+    const std::uint64_t objectiveMs = this->route.objective_ms();
+    bool isOverdue = false;
+    if (!this->isStreaming()) {
+        isOverdue = silentMs > SilentObjectives * objectiveMs;
+    } else if (!this->attempt->wasAnswered) {
+        const auto expectedMs = static_cast<std::uint64_t>(SilentExpectations * this->attempt->choice.expectedMs);
+        isOverdue = silentMs > std::max(objectiveMs, expectedMs);
+    } else {
+        isOverdue = silentMs > LongestPauseMs;
+    }
+    if (isOverdue && this->mayTryAgain(Verdict::MayHaveRun)) {
+        this->endAttempt(AttemptEnd::Broken, Verdict::MayHaveRun, "overdue");
+    }
+}
+
+void ForwardRun::refuse(const std::string &why)
+{
+    if (this->isStreamStarted) {
+        this->reply->abort();
+        this->finished(StatusBadGateway, why);
+        return;
+    }
+    if (this->verdict != Verdict::NotRun) {
+        this->answer(StatusBadGateway, why, std::nullopt);
+        return;
+    }
+    const auto waitMs = static_cast<std::uint64_t>(RetryAfterPart * static_cast<double>(this->leftMs()));
+    this->answer(StatusUnavailable, why, std::min(waitMs, MostRetryAfterMs));
+}
+
+void ForwardRun::giveUp(const std::string &why)
+{
+    if (this->isEnded) {
+        return;
+    }
+    if (this->attempt) {
+        this->attempt->call.reset();
+        this->context.endpoints.ended(this->attempt->choice, AttemptEnd::Dropped, this->attempt->wasAnswered, this->now());
+        this->context.counts.ended(this->service, this->attempt->choice.version, this->route.name());
+        this->endedAttempts.push_back(std::move(this->attempt));
+        this->verdict = combined(this->verdict, Verdict::MayHaveRun);
+    }
+    if (this->isStreamStarted) {
+        this->reply->abort();
+        this->finished(StatusTimeout, why);
+        return;
+    }
+    this->answer(StatusTimeout, why, std::nullopt);
+}
+
+void ForwardRun::answer(unsigned status, const std::string &why, std::optional<std::uint64_t> retryAfterMs)
+{
+    HttpHeaders headers{{"Content-Type", "application/json"}};
+    if (retryAfterMs) {
+        constexpr double MsPerSecond = 1000;
+        headers["Retry-After"] = std::to_string(static_cast<double>(*retryAfterMs) / MsPerSecond);
+    }
+    this->reply->send(status, headers, "{\"error\":\"" + why + "\"}");
+    this->finished(status, why);
+}
+
+void ForwardRun::callerLeft()
+{
+    if (this->isEnded) {
+        return;
+    }
+    if (this->attempt) {
+        this->attempt->call.reset();
+        this->context.endpoints.ended(this->attempt->choice, AttemptEnd::Dropped, this->attempt->wasAnswered, this->now());
+        this->context.counts.ended(this->service, this->attempt->choice.version, this->route.name());
+        this->endedAttempts.push_back(std::move(this->attempt));
+    }
+    this->finished(0, "caller-left");
+}
+
+void ForwardRun::finished(unsigned status, const std::string &why)
+{
+    if (std::exchange(this->isEnded, true)) {
+        return;
+    }
+    this->deadlineTimer.stop();
+    this->watchTimer.stop();
+    logLine(LogLevel::Info,
+            "request-ended",
+            {{"request", this->request.id},
+             {"route", this->route.name()},
+             {"status", static_cast<std::uint64_t>(status)},
+             {"why", why},
+             {"verdict", std::string(verdictName(this->verdict))},
+             {"sends", static_cast<std::uint64_t>(this->sends)},
+             {"tookMs", this->now() - this->arrivedMs}});
+    this->context.metrics.count("requests_ended_total", this->route.name() + "," + std::to_string(status) + "," + why);
+    this->context.metrics.observe("request_ms", this->route.name(), static_cast<double>(this->now() - this->arrivedMs));
+    // Not at once: this may run inside a hook of a call that the run owns.
+    this->context.loop.post([this, token = this->alive] {
+        if (*token) {
+            this->context.onEnded(this);
+        }
+    });
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Gateway/GatewayContext.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "ForwardRequest.h"
+#include "ServingView.h"
+#include "VersionCounts.h"
+
+#include "../Coordination/Metrics.h"
+#include "../Decisions/DirectEndpoints.h"
+#include "../Decisions/RetryWindow.h"
+#include "../Decisions/VersionSplit.h"
+#include "../Protocol/Settings.h"
+#include "../Transport/EventLoop.h"
+#include "../Transport/HttpClient.h"
+
+#include <functional>
+#include <memory>
+
+namespace Apricothead {
+
+class ForwardRun;
+
+/** \class GatewayContext
+ * \ingroup Gateway_Module
+ * \brief What all runs of one gateway share.
+ */
+struct GatewayContext {
+    EventLoop &loop;
+    const GatewaySettings settings;
+    const GatewayDialect dialect;
+    HttpClient client;
+    DirectEndpoints endpoints;
+    VersionSplit versions;
+    RetryWindow retries;
+    VersionCounts counts;
+    Metrics metrics;
+    std::unique_ptr<ServingView> view;
+    /** The run has ended and may be dropped. */
+    std::function<void(const ForwardRun *)> onEnded;
+};
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -0,0 +1,242 @@
+#include "GatewayTask.h"
+
+#include "ForwardRun.h"
+#include "GatewayContext.h"
+
+#include "../Transport/Log.h"
+#include "../Transport/Timer.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace Apricothead {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusUnauthorised = 401;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusUnavailable = 503;
+
+/** Confirmations come several times a second, so a lease that is this much short of the bound on revocation is lost, not late. */
+constexpr std::uint64_t LeaseMarginMs = 800;
+/** The platform asks once a second whether the gateway is ready, and takes two misses. */
+constexpr std::uint64_t NoticeMs = 3200;
+constexpr milliseconds StopCheckInterval{50};
+/** What still runs is cut this long before the platform ends the process. */
+constexpr std::uint64_t StopMarginMs = 500;
+/** Callers reuse connections for four fifths of their limit on idle time; theirs must be the first to end. */
+constexpr std::chrono::seconds CallerIdle{60};
+constexpr unsigned MostCallerConnections = 1000;
+constexpr unsigned MostReadyConnections = 32;
+/** A refusal for lack of a lease or plan: time in which one usually comes. */
+constexpr double LeaseRetrySeconds = 0.3;
+constexpr std::string_view MetricsPath = "/metrics";
+
+} // namespace
+
+struct GatewayTask::Private {
+    Private(EventLoop &loop, GatewayTaskOptions given)
+        : settings(std::move(given.settings))
+        , context{
+              .loop = loop,
+              .settings = *settings.gateway,
+              .dialect = std::move(given.dialect),
+              .client = HttpClient(loop),
+              .endpoints = DirectEndpoints({.availabilityZone = settings.availabilityZone}),
+              .versions = VersionSplit(static_cast<std::uint64_t>(settings.gateway->session.count())),
+              .retries = RetryWindow({
+                  .ratio = settings.gateway->retryRatio,
+                  .windowMs = static_cast<std::uint64_t>(settings.gateway->retryWindow.count()),
+                  .slack = settings.gateway->retrySlack,
+              }),
+              .onEnded =
+                  [this](const ForwardRun *run) {
+                      this->runs.erase(run);
+                  },
+          }
+        , stopTimer(loop, [this] {
+            this->checkStopped();
+        })
+    { }
+
+    void listen();
+    void follow();
+    void answerReady(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
+    void take(HttpRequest request, const std::shared_ptr<HttpReply> &reply);
+    void refuse(const std::shared_ptr<HttpReply> &reply, const std::string &id, unsigned status, const std::string &why);
+    bool hasLease() const;
+    void checkStopped();
+
+    Settings settings;
+    GatewayContext context;
+    std::unique_ptr<HttpServer> server;
+    std::unique_ptr<HttpServer> readyServer;
+    std::unordered_map<const ForwardRun *, std::unique_ptr<ForwardRun>> runs;
+    Timer stopTimer;
+    std::uint64_t stoppingSinceMs = 0;
+    std::function<void()> stopped;
+};
+
+void GatewayTask::Private::follow()
+{
+    this->context.view = std::make_unique<ServingView>(this->context.loop,
+                                                       ServingViewOptions{
+                                                           .settings = this->settings,
+                                                           .onServing =
+                                                               [this](const Wire::ServingState &state) {
+                                                                   this->context.versions.setState(state);
+                                                               },
+                                                           .onEndpoint =
+                                                               [this](const Wire::EndpointAnnouncement &announcement) {
+                                                                   this->context.endpoints.announce(announcement);
+                                                                   logLine(LogLevel::Info,
+                                                                           "endpoint-seen",
+                                                                           {{"endpoint", announcement.endpoint()},
+                                                                            {"service", announcement.service()},
+                                                                            {"version", announcement.version()},
+                                                                            {"state", Wire::AnnouncedState_Name(announcement.state())}});
+                                                               },
+                                                           .countVersions =
+                                                               [this] {
+                                                                   return this->context.counts.read();
+                                                               },
+                                                       });
+}
+
+void GatewayTask::Private::listen()
+{
+    const GatewaySettings &gateway = *this->settings.gateway;
+    this->server = std::make_unique<HttpServer>(this->context.loop,
+                                                HttpServerOptions{
+                                                    .address = gateway.callerAddress,
+                                                    .maxBodyBytes = gateway.maxBodyBytes,
+                                                    .maxHeaderBytes = gateway.maxHeaderBytes,
+                                                    .maxConnections = MostCallerConnections,
+                                                    .idleTimeout = CallerIdle,
+                                                    .onRequest =
+                                                        [this](HttpRequest request, const std::shared_ptr<HttpReply> &reply) {
+                                                            this->take(std::move(request), reply);
+                                                        },
+                                                });
+    this->readyServer = std::make_unique<HttpServer>(this->context.loop,
+                                                     HttpServerOptions{
+                                                         .address = gateway.readyAddress,
+                                                         .maxConnections = MostReadyConnections,
+                                                         .onRequest =
+                                                             [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
+                                                                 this->answerReady(request, reply);
+                                                             },
+                                                     });
+}
+
+bool GatewayTask::Private::hasLease() const
+{
+    const auto bound = static_cast<std::uint64_t>(this->settings.gateway->revocation.count());
+    return this->context.view->plan() && this->context.view->leaseAgeMs() + LeaseMarginMs < bound;
+}
+
+void GatewayTask::Private::answerReady(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply)
+{
+    if (request.path == MetricsPath) {
+        reply->send(StatusOk, {{"Content-Type", "text/plain"}}, metricsPage(this->context.metrics.read()));
+        return;
+    }
+    if (request.path != this->context.dialect.readyPath) {
+        reply->send(StatusNotFound, {}, {});
+        return;
+    }
+    const bool isReady = this->stoppingSinceMs == 0 && this->hasLease();
+    reply->send(isReady ? StatusOk : StatusUnavailable, {}, {});
+}
+
+void GatewayTask::Private::refuse(const std::shared_ptr<HttpReply> &reply, const std::string &id, unsigned status, const std::string &why)
+{
+    HttpHeaders headers{{"Content-Type", "application/json"}};
+    if (status == StatusUnavailable) {
+        headers["Retry-After"] = std::to_string(LeaseRetrySeconds);
+    }
+    logLine(LogLevel::Info,
+            "request-refused",
+            {{"request", id}, {"status", static_cast<std::uint64_t>(status)}, {"why", why}, {"leaseAgeMs", this->context.view->leaseAgeMs()}});
+    this->context.metrics.count("requests_refused_total", why);
+    reply->send(status, headers, "{\"error\":\"" + why + "\"}");
+}
+
+void GatewayTask::Private::take(HttpRequest received, const std::shared_ptr<HttpReply> &reply)
+{
+    std::optional<ForwardRequest> request = this->context.dialect.decode(std::move(received));
+    if (!request) {
+        this->refuse(reply, {}, StatusBadRequest, "unreadable");
+        return;
+    }
+    this->context.endpoints.setGateways(this->context.view->gateways());
+    this->context.retries.setGateways(this->context.view->gateways());
+    const std::shared_ptr<const PlanIndex> plan = this->context.view->plan();
+    if (!plan) {
+        this->refuse(reply, request->id, StatusUnavailable, "no-plan");
+        return;
+    }
+    // Without a lease a newer plan may be in force elsewhere: what this one lacks proves nothing.
+    const bool hasLease = this->hasLease();
+    const Wire::PlanRoute *route = plan->route(request->host, request->path);
+    if (route == nullptr) {
+        this->refuse(reply, request->id, hasLease ? StatusNotFound : StatusUnavailable, hasLease ? "no-route" : "no-lease");
+        return;
+    }
+    const bool needsKey = !route->open() && plan->plan().organisations_size() > 0;
+    const Wire::PlanOrganisation *organisation = needsKey ? plan->organisation(request->key) : nullptr;
+    if (needsKey && !hasLease) {
+        this->refuse(reply, request->id, StatusUnavailable, "no-lease");
+        return;
+    }
+    if (needsKey && organisation == nullptr) {
+        this->refuse(reply, request->id, StatusUnauthorised, "unknown-key");
+        return;
+    }
+    auto run = std::make_unique<ForwardRun>(this->context, *std::move(request), reply, plan, route, organisation);
+    ForwardRun &started = *run;
+    this->runs.emplace(&started, std::move(run));
+    started.start();
+}
+
+void GatewayTask::Private::checkStopped()
+{
+    const std::uint64_t since = this->context.loop.nowMs() - this->stoppingSinceMs;
+    if (since < NoticeMs) {
+        return;
+    }
+    this->server->stopListening();
+    const auto grace = static_cast<std::uint64_t>(this->settings.gateway->grace.count());
+    const bool isOver = since + StopMarginMs >= grace;
+    if (!this->runs.empty() && !isOver) {
+        return;
+    }
+    this->stopTimer.stop();
+    logLine(LogLevel::Info, "gateway-stopped", {{"cut", static_cast<std::uint64_t>(this->runs.size())}});
+    std::exchange(this->stopped, nullptr)();
+}
+
+GatewayTask::GatewayTask(EventLoop &loop, GatewayTaskOptions options) : d(std::make_unique<Private>(loop, std::move(options)))
+{ }
+
+GatewayTask::~GatewayTask() = default;
+
+void GatewayTask::start()
+{
+    this->d->follow();
+    this->d->listen();
+}
+
+void GatewayTask::stop(std::function<void()> stopped)
+{
+    this->d->stopped = std::move(stopped);
+    this->d->stoppingSinceMs = this->d->context.loop.nowMs();
+    this->d->server->closeAfterAnswers();
+    this->d->stopTimer.startRepeating(StopCheckInterval);
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Gateway/ServingView.cpp
@@ -0,0 +1,157 @@
+#include "ServingView.h"
+
+#include "../Transport/EventLoop.h"
+#include "../Transport/Log.h"
+#include "../Transport/WallClock.h"
+
+#include <ctime>
+#include <limits>
+#include <utility>
+
+namespace Apricothead {
+namespace {
+
+/** Several confirmations fit into a lease, and one that is lost costs little of it. */
+constexpr std::chrono::milliseconds HeartbeatInterval{300};
+/** All announcements are asked for now and then: a replica that restarted no longer tells of what it forgot. */
+constexpr unsigned HeartbeatsBetweenLists = 10;
+/** Confirmations older than this are of no use. */
+constexpr std::size_t MostRounds = 64;
+
+} // namespace
+
+std::uint64_t bootTimeMs()
+{
+    constexpr std::uint64_t MsPerSecond = 1000;
+    constexpr std::uint64_t NsPerMs = 1'000'000;
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return static_cast<std::uint64_t>(now.tv_sec) * MsPerSecond + static_cast<std::uint64_t>(now.tv_nsec) / NsPerMs;
+}
+
+ServingView::ServingView(EventLoop &loop, ServingViewOptions given) : options(std::move(given))
+{
+    const Settings &settings = this->options.settings;
+    this->client = std::make_unique<ReplicaClient>(loop,
+                                                   ReplicaClientOptions{
+                                                       .group = settings.group,
+                                                       .process = settings.process,
+                                                       .incarnation = wallClockMicros(),
+                                                       .seeds = settings.seeds,
+                                                       .linkHeartbeat = settings.timing.linkHeartbeat,
+                                                       .linkSilence = settings.timing.linkSilence,
+                                                       .heartbeat = HeartbeatInterval,
+                                                       .onUpdate =
+                                                           [this](const std::string &replica, const Wire::ClusterUpdate &update) {
+                                                               this->takeUpdate(replica, update);
+                                                           },
+                                                       .onReplicaSilent =
+                                                           [this](const std::string &replica) {
+                                                               logLine(LogLevel::Warning, "replica-lost", {{"replica", replica}});
+                                                               this->announcements.forget(replica);
+                                                           },
+                                                       .onReplicaConnected =
+                                                           [this](const std::string &replica) {
+                                                               logLine(LogLevel::Info, "replica-connected", {{"replica", replica}});
+                                                               this->unheardReplicas.insert(replica);
+                                                           },
+                                                       .describeTo =
+                                                           [this](const std::string &replica, Wire::Heartbeat &heartbeat) {
+                                                               this->describeTo(replica, heartbeat);
+                                                           },
+                                                       .followMembers = true,
+                                                   });
+}
+
+ServingView::~ServingView() = default;
+
+void ServingView::describeTo(const std::string &replica, Wire::Heartbeat &heartbeat)
+{
+    heartbeat.set_serving_number(this->state.number());
+    heartbeat.set_plan_revision(this->state.plan().revision());
+    heartbeat.set_lease_round(++this->round);
+    this->askedMs[this->round] = bootTimeMs();
+    while (this->askedMs.size() > MostRounds) {
+        this->askedMs.erase(this->askedMs.begin());
+    }
+    const bool isListDue = this->heartbeats[replica]++ % HeartbeatsBetweenLists == 0;
+    heartbeat.set_wants_announcements(isListDue || this->unheardReplicas.contains(replica));
+    for (Wire::VersionCount &count : this->options.countVersions()) {
+        heartbeat.add_versions()->Swap(&count);
+    }
+}
+
+void ServingView::takeUpdate(const std::string &replica, const Wire::ClusterUpdate &update)
+{
+    if (update.has_serving()) {
+        this->takeServing(update.serving());
+    }
+    this->takeAnnouncements(replica, update);
+    if (update.lease_round() != 0) {
+        this->confirm(update);
+    }
+}
+
+void ServingView::takeServing(const Wire::ServingState &serving)
+{
+    const bool isOutdated = serving.number() <= this->state.number();
+    // Without a plan of its own it builds on the one that this process has.
+    const bool lacksPlan = !serving.has_plan() && this->state.plan().revision() == 0;
+    if (isOutdated || lacksPlan) {
+        return;
+    }
+    Wire::ServingState next = serving;
+    const bool hasNewPlan = serving.plan().revision() > this->state.plan().revision();
+    if (!hasNewPlan) {
+        *next.mutable_plan() = this->state.plan();
+    }
+    this->state = std::move(next);
+    if (hasNewPlan) {
+        this->index = std::make_shared<const PlanIndex>(this->state.plan());
+    }
+    logLine(LogLevel::Info, "serving-state", {{"number", this->state.number()}, {"revision", this->state.plan().revision()}});
+    this->options.onServing(this->state);
+}
+
+void ServingView::takeAnnouncements(const std::string &replica, const Wire::ClusterUpdate &update)
+{
+    if (update.announcements_size() == 0 && !update.all_announcements()) {
+        return;
+    }
+    const std::vector<Wire::EndpointAnnouncement> listed(update.announcements().begin(), update.announcements().end());
+    if (update.all_announcements()) {
+        this->unheardReplicas.erase(replica);
+    }
+    const auto changed = update.all_announcements() ? this->announcements.takeAll(replica, listed) : this->announcements.take(replica, listed);
+    for (const Wire::EndpointAnnouncement &announcement : changed) {
+        this->options.onEndpoint(announcement);
+    }
+}
+
+void ServingView::confirm(const Wire::ClusterUpdate &update)
+{
+    this->gatewayCount = update.gateways();
+    const auto asked = this->askedMs.find(update.lease_round());
+    const bool holdsNewest = this->state.number() >= update.serving_number();
+    if (asked == this->askedMs.end() || !holdsNewest) {
+        return;
+    }
+    this->confirmedMs = std::max(this->confirmedMs, asked->second);
+}
+
+std::shared_ptr<const PlanIndex> ServingView::plan() const
+{
+    return this->index;
+}
+
+std::uint64_t ServingView::leaseAgeMs() const
+{
+    return this->confirmedMs == 0 ? std::numeric_limits<std::uint64_t>::max() : bootTimeMs() - this->confirmedMs;
+}
+
+std::uint32_t ServingView::gateways() const
+{
+    return this->gatewayCount;
+}
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Gateway/ServingView.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "../Coordination/AnnouncementView.h"
+#include "../Coordination/ReplicaClient.h"
+#include "../Decisions/PlanIndex.h"
+#include "../Protocol/Settings.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Apricothead {
+
+class EventLoop;
+
+/** \class ServingViewOptions
+ * \ingroup Gateway_Module
+ * \brief Whom a ServingView follows, and its hooks, called on the loop's thread.
+ */
+struct ServingViewOptions {
+    Settings settings;
+    /** A newer plan or a change of roll-outs is in force here. */
+    std::function<void(const Wire::ServingState &)> onServing;
+    std::function<void(const Wire::EndpointAnnouncement &)> onEndpoint;
+    /** \returns what this gateway counted of the versions it sent work to */
+    std::function<std::vector<Wire::VersionCount>()> countVersions;
+};
+
+/** \class ServingView
+ * \ingroup Gateway_Module
+ * \brief What a gateway holds of the replicated state, and how old that may be.
+ *
+ * The leader confirms several times a second that the state held is the newest: that is the lease. Its age is counted from when the
+ * confirmation was asked for, by a clock that goes on while the instance is suspended.
+ * \sa ServingFeed
+ */
+class ServingView
+{
+public:
+    ServingView(EventLoop &loop, ServingViewOptions options);
+    ~ServingView();
+    ServingView(const ServingView &) = delete;
+    ServingView &operator=(const ServingView &) = delete;
+
+    /** \returns the plan in force here, null before the first */
+    std::shared_ptr<const PlanIndex> plan() const;
+
+    /** \returns ms since when a newer state may be in force elsewhere; a very large number before the first confirmation */
+    std::uint64_t leaseAgeMs() const;
+
+    /** \returns gateways that the leader hears, this one included; 0 when it has not said */
+    std::uint32_t gateways() const;
+
+private:
+    void takeUpdate(const std::string &replica, const Wire::ClusterUpdate &update);
+    void takeServing(const Wire::ServingState &serving);
+    void takeAnnouncements(const std::string &replica, const Wire::ClusterUpdate &update);
+    void confirm(const Wire::ClusterUpdate &update);
+    void describeTo(const std::string &replica, Wire::Heartbeat &heartbeat);
+
+    ServingViewOptions options;
+    std::unique_ptr<ReplicaClient> client;
+    std::shared_ptr<const PlanIndex> index;
+    Wire::ServingState state;
+    AnnouncementView announcements;
+    std::set<std::string> unheardReplicas;
+    std::map<std::string, unsigned> heartbeats;
+    std::map<std::uint64_t, std::uint64_t> askedMs;
+    std::uint64_t round = 0;
+    std::uint64_t confirmedMs = 0;
+    std::uint32_t gatewayCount = 0;
+};
+
+/** \returns ms of a clock that goes on while the instance is suspended */
+std::uint64_t bootTimeMs();
+
+} // namespace Apricothead
--- a/Apricothead/src/Protocol/Settings.h
+++ b/Apricothead/src/Protocol/Settings.h
@@ -121,11 +121,47 @@
     std::string dataFolder;
     bool groupCommit = true;
     std::uint64_t snapshotEvery = 10000;
+    /** The system starts for the first time: the first seed makes the group if its data folder is empty. */
+    bool bootstrap = false;
     std::chrono::hours recordKept{24};
 
     bool operator==(const ReplicaSettings &) const = default;
 };
 
+/** \class GatewaySettings
+ * \ingroup Protocol_Module
+ * \brief The gateway role: where callers connect, and the bounds that its operators promise.
+ */
+struct GatewaySettings {
+    std::string callerAddress;
+    /** Where the platform asks whether this gateway takes callers, and where metrics are read. */
+    std::string readyAddress;
+    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::size_t maxHeaderBytes = 32 * 1024;
+    /** A key that was taken away is refused everywhere after this time. */
+    std::chrono::milliseconds revocation{5000};
+    /** Requests of one session that follow each other within this time belong together. */
+    std::chrono::milliseconds session{5000};
+    /** Repeated arrivals at a service, over all gateways, for each request in a window; and how many more. */
+    double retryRatio = 0.9;
+    std::chrono::milliseconds retryWindow{10000};
+    double retrySlack = 56;
+    /** The process is ended this long after it was asked to stop. */
+    std::chrono::milliseconds grace{8000};
+
+    bool operator==(const GatewaySettings &) const = default;
+};
+
+/** \class ControlSettings
+ * \ingroup Protocol_Module
+ * \brief Where operators and endpoints call a replica in the dialect of a platform.
+ */
+struct ControlSettings {
+    std::string address;
+
+    bool operator==(const ControlSettings &) const = default;
+};
+
 /** \class Settings
  * \ingroup Protocol_Module
  * \brief What one process is told by its settings file.
@@ -135,13 +171,15 @@
     std::string group = "main";
     std::string region = "local";
     std::string availabilityZone;
-    /** IP and port of each replica. */
+    /** IP and port of each replica; the port is seedPort where the settings give one. */
     std::vector<std::string> seeds;
     std::string logLevel = "info";
     TimingSettings timing;
     std::optional<EntrySettings> entry;
     std::optional<EndpointSettings> endpoint;
     std::optional<ReplicaSettings> replica;
+    std::optional<GatewaySettings> gateway;
+    std::optional<ControlSettings> control;
 
     bool operator==(const Settings &) const = default;
 };
--- a/Apricothead/src/Protocol/SettingsReader.cpp
+++ b/Apricothead/src/Protocol/SettingsReader.cpp
@@ -88,6 +88,14 @@
     }
 }
 
+/** Reads seconds, which may have a fraction. */
+void readSeconds(const Json &object, const char *key, std::chrono::milliseconds &target)
+{
+    if (object.contains(key)) {
+        target = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(object.at(key).get<double>()));
+    }
+}
+
 template <class Value>
 void readValue(const Json &object, const char *key, Value &target)
 {
@@ -162,9 +170,36 @@
     readValue(object, "groupCommit", replica.groupCommit);
     readValue(object, "snapshotEvery", replica.snapshotEvery);
     readDuration(object, "recordKeptHours", replica.recordKept);
+    readValue(object, "bootstrap", replica.bootstrap);
     return replica;
 }
 
+GatewaySettings readGateway(const Json &object)
+{
+    GatewaySettings gateway;
+    readValue(object, "callerAddress", gateway.callerAddress);
+    readValue(object, "readyAddress", gateway.readyAddress);
+    readValue(object, "maxBodyBytes", gateway.maxBodyBytes);
+    readValue(object, "maxHeaderBytes", gateway.maxHeaderBytes);
+    readDuration(object, "revocationMs", gateway.revocation);
+    readSeconds(object, "sessionSeconds", gateway.session);
+    readValue(object, "retryRatio", gateway.retryRatio);
+    readSeconds(object, "retryWindowSeconds", gateway.retryWindow);
+    readValue(object, "retrySlack", gateway.retrySlack);
+    readSeconds(object, "graceSeconds", gateway.grace);
+    return gateway;
+}
+
+/** \returns \a seeds with their ports replaced: some platforms name where replicas serve operators, not each other */
+std::vector<std::string> withPort(const std::vector<std::string> &seeds, unsigned port)
+{
+    std::vector<std::string> replaced;
+    for (const std::string &seed : seeds) {
+        replaced.push_back(seed.substr(0, seed.rfind(':') + 1) + std::to_string(port));
+    }
+    return replaced;
+}
+
 Settings readAll(const Json &document)
 {
     Settings settings;
@@ -184,6 +219,15 @@
     if (document.contains("replica")) {
         settings.replica = readReplica(document.at("replica"));
     }
+    if (document.contains("gateway")) {
+        settings.gateway = readGateway(document.at("gateway"));
+    }
+    if (document.contains("control")) {
+        settings.control = ControlSettings{.address = document.at("control").at("address")};
+    }
+    if (document.contains("seedPort")) {
+        settings.seeds = withPort(settings.seeds, document.at("seedPort").get<unsigned>());
+    }
     return settings;
 }
 
@@ -226,6 +270,13 @@
     if (settings.replica && !settings.replica->listenAddress.empty()) {
         addresses.emplace_back("/replica/listenAddress", settings.replica->listenAddress);
     }
+    if (settings.gateway) {
+        addresses.emplace_back("/gateway/callerAddress", settings.gateway->callerAddress);
+        addresses.emplace_back("/gateway/readyAddress", settings.gateway->readyAddress);
+    }
+    if (settings.control) {
+        addresses.emplace_back("/control/address", settings.control->address);
+    }
     return addresses;
 }
 
@@ -254,10 +305,13 @@
 
 void checkRoles(const Settings &settings, Faults &faults)
 {
-    if (!settings.entry && !settings.endpoint && !settings.replica) {
-        faults.push_back({.path = "", .message = "no role: give at least one of entry, endpoint and replica"});
+    if (!settings.entry && !settings.endpoint && !settings.replica && !settings.gateway) {
+        faults.push_back({.path = "", .message = "no role: give at least one of entry, endpoint, replica and gateway"});
+    }
+    if (settings.control && !settings.replica) {
+        faults.push_back({.path = "/control", .message = "needs the replica role in the same process"});
     }
-    if (settings.endpoint && (settings.entry || settings.replica)) {
+    if (settings.endpoint && (settings.entry || settings.replica || settings.gateway)) {
         faults.push_back({.path = "/endpoint", .message = "the endpoint role runs in a process of its own, in the slot of its endpoint instance"});
     }
     if (!settings.entry) {
--- /dev/null
+++ b/Apricothead/src/State/ServingTable.cpp
@@ -0,0 +1,87 @@
+#include "ServingTable.h"
+
+#include "StateErrors.h"
+
+#include <algorithm>
+
+namespace Apricothead {
+namespace {
+
+Wire::CommandResult revisionResult(std::uint64_t revision)
+{
+    Wire::CommandResult result;
+    result.set_revision(revision);
+    return result;
+}
+
+} // namespace
+
+const Wire::ServingState &ServingTable::value() const
+{
+    return this->state;
+}
+
+Wire::CommandResult ServingTable::put(const Wire::ServicePlan &plan, std::uint64_t index)
+{
+    if (plan.revision() > this->state.plan().revision()) {
+        *this->state.mutable_plan() = plan;
+        this->state.set_number(index);
+    }
+    return revisionResult(this->state.plan().revision());
+}
+
+Wire::ServiceRollout *ServingTable::find(const std::string &service)
+{
+    auto &rollouts = *this->state.mutable_rollouts();
+    const auto found = std::find_if(rollouts.begin(), rollouts.end(), [&service](const Wire::ServiceRollout &rollout) {
+        return rollout.service() == service;
+    });
+    return found == rollouts.end() ? nullptr : &*found;
+}
+
+Wire::CommandResult ServingTable::start(const Wire::StartServiceRollout &order, std::uint64_t index, std::int64_t timeMs)
+{
+    const auto &services = this->state.plan().services();
+    const bool known = std::any_of(services.begin(), services.end(), [&order](const Wire::PlanService &service) {
+        return service.name() == order.service();
+    });
+    if (!known) {
+        return refusal(makeError(Wire::ERROR_CODE_NOT_FOUND, "service", "names no service of the plan in force", "send the plan first"));
+    }
+    Wire::ServiceRollout *rollout = this->find(order.service());
+    if (rollout != nullptr && rollout->target() == order.target()) {
+        return revisionResult(this->state.plan().revision());
+    }
+    if (rollout == nullptr) {
+        rollout = this->state.add_rollouts();
+    }
+    rollout->Clear();
+    rollout->set_service(order.service());
+    rollout->set_target(order.target());
+    rollout->set_duration_ms(order.duration_ms());
+    rollout->set_state(Wire::SERVICE_ROLLOUT_STATE_RUNNING);
+    rollout->set_order(index);
+    rollout->set_started_ms(timeMs);
+    this->state.set_number(index);
+    return revisionResult(this->state.plan().revision());
+}
+
+Wire::CommandResult ServingTable::set(const Wire::SetServiceRollout &change, std::uint64_t index)
+{
+    Wire::ServiceRollout *rollout = this->find(change.service());
+    if (rollout == nullptr || rollout->order() != change.order() || rollout->state() != Wire::SERVICE_ROLLOUT_STATE_RUNNING) {
+        return refusal(makeError(Wire::ERROR_CODE_NOT_FOUND, "order", "names no running roll-out", "read the roll-outs in force"));
+    }
+    rollout->set_state(change.state());
+    rollout->set_share_permille(change.share_permille());
+    rollout->set_evidence(change.evidence());
+    this->state.set_number(index);
+    return revisionResult(this->state.plan().revision());
+}
+
+void ServingTable::restore(const Wire::ServingState &restored)
+{
+    this->state = restored;
+}
+
+} // namespace Apricothead
--- a/Apricothead/src/State/StateMachine.cpp
+++ b/Apricothead/src/State/StateMachine.cpp
@@ -7,6 +7,7 @@
 #include "IncarnationTable.h"
 #include "Ledger.h"
 #include "RequestTable.h"
+#include "ServingTable.h"
 #include "SessionTable.h"
 #include "StateErrors.h"
 
@@ -96,6 +97,7 @@
     Ledger ledger;
     AnsweredCommands answered;
     IncarnationTable incarnations;
+    ServingTable serving;
     std::int64_t timeMs = 0;
     std::uint64_t appliedIndex = 0;
 
@@ -131,6 +133,12 @@
         return this->reportUsage(command.report_usage());
     case Wire::Command::kChange:
         return this->change(command);
+    case Wire::Command::kPutPlan:
+        return this->serving.put(command.put_plan(), this->appliedIndex);
+    case Wire::Command::kStartServiceRollout:
+        return this->serving.start(command.start_service_rollout(), this->appliedIndex, this->timeMs);
+    case Wire::Command::kSetServiceRollout:
+        return this->serving.set(command.set_service_rollout(), this->appliedIndex);
     case Wire::Command::BODY_NOT_SET:
         break;
     }
@@ -360,6 +368,7 @@
     this->d->ledger.save(snapshot);
     this->d->answered.save(snapshot);
     this->d->incarnations.save(snapshot);
+    *snapshot.mutable_serving() = this->d->serving.value();
     return snapshot.SerializeAsString();
 }
 
@@ -377,6 +386,7 @@
     this->d->ledger.restore(snapshot);
     this->d->answered.restore(snapshot);
     this->d->incarnations.restore(snapshot);
+    this->d->serving.restore(snapshot.serving());
     return true;
 }
 
@@ -385,6 +395,11 @@
     return this->d->configuration.value();
 }
 
+const Wire::ServingState &StateMachine::serving() const
+{
+    return this->d->serving.value();
+}
+
 std::vector<Wire::LedgerDay> StateMachine::ledger(std::string_view organisation, std::string_view day) const
 {
     return this->d->ledger.days(organisation, day);
--- a/Apricothead/src/State/StateMachine.h
+++ b/Apricothead/src/State/StateMachine.h
@@ -49,6 +49,8 @@
     bool restore(std::string_view bytes);
 
     const Wire::Configuration &configuration() const;
+    /** \returns the plan of services and the roll-outs in force */
+    const Wire::ServingState &serving() const;
     std::vector<Wire::LedgerDay> ledger(std::string_view organisation, std::string_view day) const;
     /** \returns the record, or one with RECORD_STATE_UNSPECIFIED when there is none */
     Wire::RequestRecord record(const Wire::RequestKey &key) const;
--- a/Apricothead/src/Transport/HttpClient.h
+++ b/Apricothead/src/Transport/HttpClient.h
@@ -39,6 +39,11 @@
     /** No byte received for this long ends the call; zero means no bound. */
     std::chrono::milliseconds silence{0};
     std::chrono::milliseconds total{0};
+    /** Uses a kept connection if there is one, and keeps this one. A request is never sent twice: libcurl's own second sending is stopped. */
+    bool keepConnection = false;
+    /** Bytes sent and not acknowledged for this long break the connection; zero means the system's bound. */
+    std::chrono::milliseconds unacknowledged{0};
+    /** May drop the HttpCall: the connection is closed then. */
     std::function<void(unsigned status, const HttpHeaders &headers)> onHead;
     std::function<void(std::string_view)> onData;
     std::function<void(const HttpResult &)> onDone;
--- a/Apricothead/src/Transport/HttpServer.cpp
+++ b/Apricothead/src/Transport/HttpServer.cpp
@@ -51,7 +51,12 @@
 
 MHD_Result collectHeader(void *headers, MHD_ValueKind, const char *name, const char *value)
 {
-    (*static_cast<HttpHeaders *>(headers))[lowerCase(name)] = value == nullptr ? "" : value;
+    const std::string_view text = value == nullptr ? "" : value;
+    const auto [field, isFirst] = static_cast<HttpHeaders *>(headers)->emplace(lowerCase(name), text);
+    if (!isFirst) {
+        // A repeated field means the same as one with a list.
+        field->second.append(", ").append(text);
+    }
     return MHD_YES;
 }
 
@@ -245,7 +250,7 @@
     void serve(MHD_Connection *connection, const std::shared_ptr<detail::HttpExchange> &exchange)
     {
         this->readingSince.erase(connection);
-        if (this->isQuiesced) {
+        if (this->isQuiesced || this->closesAfterAnswers) {
             exchange->closeAfterAnswer();
         }
         exchange->suspend();
@@ -354,6 +359,7 @@
     /** Something happened that libmicrohttpd has to look at. */
     bool needsRun = false;
     bool isQuiesced = false;
+    bool closesAfterAnswers = false;
     bool isStopping = false;
 };
 
@@ -362,6 +368,11 @@
 
 HttpServer::~HttpServer() = default;
 
+void HttpServer::closeAfterAnswers()
+{
+    this->d->closesAfterAnswers = true;
+}
+
 void HttpServer::stopListening()
 {
     if (std::exchange(this->d->isQuiesced, true)) {
--- a/Apricothead/src/Transport/HttpServer.h
+++ b/Apricothead/src/Transport/HttpServer.h
@@ -95,6 +95,9 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    /** Tells callers with each answer to make a new connection for their next request, and closes this one. */
+    void closeAfterAnswers();
+
     /** Accepts no new connection; open ones go on. */
     void stopListening();
 
--- a/Apricothead/src/Transport/HttpTransfer.cpp
+++ b/Apricothead/src/Transport/HttpTransfer.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace Apricothead::detail {
@@ -12,6 +15,9 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned FirstFinalStatus = 200;
+/** Idle connections older than this are not used again: the older, the likelier that something on the way has forgotten them. */
+constexpr long KeptConnectionSeconds = 8;
+constexpr long ProbeSeconds = 1;
 
 std::string_view trimmed(std::string_view text)
 {
@@ -63,15 +69,36 @@
         line.append(value.empty() ? ";" : ": ").append(value);
         this->headerLines = curl_slist_append(this->headerLines, line.c_str());
     }
-    this->headerLines = curl_slist_append(this->headerLines, "Expect:");
+    // libcurl would add these by itself.
+    for (const char *own : {"Expect", "Accept", "Content-Type"}) {
+        std::string name(own);
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
+            return static_cast<char>(std::tolower(c));
+        });
+        if (!this->options.headers.contains(own) && !this->options.headers.contains(name)) {
+            this->headerLines = curl_slist_append(this->headerLines, (std::string(own) + ":").c_str());
+        }
+    }
     curl_easy_setopt(this->easy, CURLOPT_HTTPHEADER, this->headerLines);
     curl_easy_setopt(this->easy, CURLOPT_URL, this->options.url.c_str());
     curl_easy_setopt(this->easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(this->easy, CURLOPT_PROXY, "");
     curl_easy_setopt(this->easy, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(this->easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
-    curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(this->easy, CURLOPT_FORBID_REUSE, 1L);
+    curl_easy_setopt(this->easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, this->options.keepConnection ? 0L : 1L);
+    curl_easy_setopt(this->easy, CURLOPT_FORBID_REUSE, this->options.keepConnection ? 0L : 1L);
+    curl_easy_setopt(this->easy, CURLOPT_MAXAGE_CONN, KeptConnectionSeconds);
+    curl_easy_setopt(this->easy, CURLOPT_PREREQFUNCTION, &HttpTransfer::onBeforeSend);
+    curl_easy_setopt(this->easy, CURLOPT_PREREQDATA, this);
+    if (this->options.unacknowledged.count() > 0) {
+        curl_easy_setopt(this->easy, CURLOPT_SOCKOPTFUNCTION, &HttpTransfer::onSocketMade);
+        curl_easy_setopt(this->easy, CURLOPT_SOCKOPTDATA, this);
+        // Shows that a peer is gone while this side only waits.
+        curl_easy_setopt(this->easy, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(this->easy, CURLOPT_TCP_KEEPIDLE, ProbeSeconds);
+        curl_easy_setopt(this->easy, CURLOPT_TCP_KEEPINTVL, ProbeSeconds);
+    }
     curl_easy_setopt(this->easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(this->options.connectTimeout.count()));
     curl_easy_setopt(this->easy, CURLOPT_TIMEOUT_MS, static_cast<long>(this->options.total.count()));
     curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, &HttpTransfer::onHeaderLine);
@@ -96,6 +123,21 @@
     curl_easy_setopt(this->easy, CURLOPT_CUSTOMREQUEST, method.c_str());
 }
 
+int HttpTransfer::onBeforeSend(void *self, char *, char *, int, int)
+{
+    auto *transfer = static_cast<HttpTransfer *>(self);
+    return transfer->sendings++ == 0 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+int HttpTransfer::onSocketMade(void *self, curl_socket_t socket, curlsocktype)
+{
+    const auto *transfer = static_cast<HttpTransfer *>(self);
+    const auto bound = static_cast<unsigned>(transfer->options.unacknowledged.count());
+    // Without it the connection only lives longer when its peer is silent.
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &bound, sizeof(bound));
+    return CURL_SOCKOPT_OK;
+}
+
 std::size_t HttpTransfer::onHeaderLine(char *bytes, std::size_t size, std::size_t count, void *self)
 {
     auto *transfer = static_cast<HttpTransfer *>(self);
@@ -104,7 +146,7 @@
     }
     transfer->lastByteAt = transfer->loop.nowMs();
     transfer->takeHeaderLine({bytes, size * count});
-    return size * count;
+    return transfer->isCancelled ? 0 : size * count;
 }
 
 std::size_t HttpTransfer::onBody(char *bytes, std::size_t size, std::size_t count, void *self)
@@ -120,7 +162,7 @@
     if (transfer->options.onData) {
         transfer->options.onData({bytes, size * count});
     }
-    return size * count;
+    return transfer->isCancelled ? 0 : size * count;
 }
 
 void HttpTransfer::takeHeaderLine(std::string_view line)
@@ -225,11 +267,9 @@
     if (std::exchange(this->isCancelled, true) || !this->options.onDone) {
         return;
     }
-    long sentBytes = 0;
-    curl_easy_getinfo(this->easy, CURLINFO_REQUEST_SIZE, &sentBytes);
     HttpResult result;
     result.whole = code == CURLE_OK;
-    result.neverSent = code != CURLE_OK && sentBytes == 0;
+    result.neverSent = code != CURLE_OK && this->sendings == 0;
     result.status = this->status;
     if (code != CURLE_OK) {
         result.error = this->isSilent ? "no byte received within the silence bound" : curl_easy_strerror(code);
--- a/Apricothead/src/Transport/HttpTransfer.h
+++ b/Apricothead/src/Transport/HttpTransfer.h
@@ -29,8 +29,8 @@
  * \ingroup Transport_Module
  * \brief One libcurl easy handle.
  *
- * Each transfer has a connection of its own: libcurl sends a request again by itself when a kept connection turns out closed, and
- * a request must not run twice.
+ * libcurl sends a request again by itself when a kept connection turns out closed, and a request must not run twice: a second sending
+ * within one transfer is stopped.
  */
 class HttpTransfer
 {
@@ -49,6 +49,8 @@
 
 private:
     static std::size_t onHeaderLine(char *bytes, std::size_t size, std::size_t count, void *self);
+    static int onBeforeSend(void *self, char *, char *, int, int);
+    static int onSocketMade(void *self, curl_socket_t socket, curlsocktype purpose);
     static std::size_t onBody(char *bytes, std::size_t size, std::size_t count, void *self);
     void configure();
     void configureMethod();
@@ -69,6 +71,7 @@
     Timer resumeTimer;
     std::uint64_t lastByteAt = 0;
     unsigned status = 0;
+    unsigned sendings = 0;
     bool isHeadDone = false;
     bool isPaused = false;
     bool isCancelled = false;
--- a/app/ServeCommand.cpp
+++ b/app/ServeCommand.cpp
@@ -3,6 +3,10 @@
 #include "SettingsArgument.h"
 
 #include <Apricothead/Coordination>
+#include <Apricothead/Gateway>
+
+#include <platform/ControlTask.h>
+#include <platform/FrontDialect.h>
 
 #include <csignal>
 #include <iostream>
@@ -50,6 +54,34 @@
     return started.has_value() ? std::string() : started.error().message;
 }
 
+/** A replica, and the calls that operators and endpoints of a platform make to it, on one loop. */
+class ControlledReplica
+{
+public:
+    ControlledReplica(EventLoop &loop, const ReplicaTaskOptions &options)
+        : replica(std::make_unique<ReplicaTask>(loop, options)), control(std::make_unique<Platform::ControlTask>(loop, options.settings, *this->replica))
+    { }
+
+    void start()
+    {
+        const std::string failed = startTask(*this->replica);
+        if (!failed.empty()) {
+            throw std::runtime_error(failed);
+        }
+        this->control->start();
+    }
+
+    void stop(std::function<void()> stopped)
+    {
+        this->control.reset();
+        this->replica->stop(std::move(stopped));
+    }
+
+private:
+    std::unique_ptr<ReplicaTask> replica;
+    std::unique_ptr<Platform::ControlTask> control;
+};
+
 /** The process's roles, stopped one after the other: entries first, since they need the replicas to settle. */
 class Server
 {
@@ -106,10 +138,16 @@
         if (this->settings.endpoint) {
             this->add<EndpointTask>("endpoint", EndpointTaskOptions{.settings = this->settings});
         }
-        if (this->settings.replica) {
-            this->add<ReplicaTask>("replica", ReplicaTaskOptions{.settings = this->settings, .onFailed = [this](const std::string &reason) {
-                                                                     this->fail("replica", reason);
-                                                                 }});
+        if (this->settings.gateway) {
+            this->add<GatewayTask>("gateway", GatewayTaskOptions{.settings = this->settings, .dialect = Platform::frontDialect()});
+        }
+        const ReplicaTaskOptions replica{.settings = this->settings, .onFailed = [this](const std::string &reason) {
+                                             this->fail("replica", reason);
+                                         }};
+        if (this->settings.control) {
+            this->add<ControlledReplica>("replica", replica);
+        } else if (this->settings.replica) {
+            this->add<ReplicaTask>("replica", replica);
         }
     }
 
