Cascade by the small model's confidence; a stream goes elsewhere only when overtaken

Found beside: libcurl refuses a transfer that is added inside its own hook; HttpClient adds it afterwards now. Change: ModelLadder; DirectEndpoints::isOvertaken instead of silence.

--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -56,7 +56,7 @@
     return prompt.empty() ? 0 : allTokens(prompt) - prompt.back().tokens;
 }
 
-DirectEndpoints::DirectEndpoints(DirectEndpointsOptions given) : options(std::move(given)), tokensPerMs(options.tokensPerMs)
+DirectEndpoints::DirectEndpoints(DirectEndpointsOptions given) : options(std::move(given))
 { }
 
 void DirectEndpoints::setGateways(std::uint32_t count)
@@ -72,7 +72,7 @@
     }
     if (found != this->known.end() && found->second.announcement.born_ms() < announcement.born_ms()) {
         // A new incarnation has no history; what still runs belongs to the former one.
-        found->second = Known{.running = found->second.running, .awaitingTokens = found->second.awaitingTokens};
+        found->second = Known{.running = found->second.running, .awaitingMs = found->second.awaitingMs};
     }
     Known &endpoint = this->known[announcement.endpoint()];
     endpoint.announcement = announcement;
@@ -133,15 +133,20 @@
     return cached;
 }
 
+double DirectEndpoints::readingMs(const std::string &model, std::uint64_t tokens) const
+{
+    const auto measured = this->tokensPerMs.find(model);
+    return static_cast<double>(tokens) / (measured == this->tokensPerMs.end() ? this->options.tokensPerMs : measured->second);
+}
+
 DirectEndpoints::Scored DirectEndpoints::score(const Known &endpoint, const EndpointQuestion &question, const std::string &home) const
 {
     Scored scored{.endpoint = &endpoint, .isHome = endpoint.announcement.endpoint() == home};
     const std::uint64_t cached = scored.isHome ? sharedTokens(question.prompt) : this->cachedTokens(endpoint, question);
     scored.uncachedTokens = allTokens(question.prompt) - cached;
     const double everywhere = this->gateways;
-    // Own work stands for that of all gateways: it is never outdated, and callers are spread evenly enough.
-    const double waiting = static_cast<double>(endpoint.awaitingTokens) * everywhere / this->tokensPerMs;
-    scored.expectedMs = waiting + question.pace * static_cast<double>(scored.uncachedTokens) / this->tokensPerMs
+    // What others' work costs is seen in the pace that is learned; to count own waiting for all would chase every prompt from its home.
+    scored.expectedMs = endpoint.awaitingMs + this->readingMs(question.model, scored.uncachedTokens)
         + this->options.perRunningMs * static_cast<double>(endpoint.running) * everywhere;
     if (endpoint.announcement.availability_zone() != this->options.availabilityZone) {
         scored.expectedMs += this->options.otherZoneMs;
@@ -182,6 +187,7 @@
         .version = announcement.version(),
         .expectedMs = best.expectedMs,
         .uncachedTokens = best.uncachedTokens,
+        .model = question.model,
         .reason = reason,
     };
 }
@@ -190,7 +196,7 @@
 {
     Known &endpoint = this->known[choice.endpoint];
     ++endpoint.running;
-    endpoint.awaitingTokens += choice.uncachedTokens;
+    endpoint.awaitingMs += this->readingMs(choice.model, choice.uncachedTokens);
     for (const std::uint64_t prefix : chainOf(question)) {
         endpoint.prefixUsedMs[prefix] = nowMs;
     }
@@ -203,19 +209,22 @@
     endpoint.prefixUsedMs.erase(oldest);
 }
 
-void DirectEndpoints::answered(const EndpointChoice &choice, std::uint64_t tookMs)
+void DirectEndpoints::answered(const EndpointChoice &choice, std::uint64_t tookMs, std::uint64_t nowMs)
 {
     const auto found = this->known.find(choice.endpoint);
     if (found == this->known.end()) {
         return;
     }
     Known &endpoint = found->second;
-    endpoint.awaitingTokens -= std::min(endpoint.awaitingTokens, choice.uncachedTokens);
+    endpoint.awaitingMs = std::max(0.0, endpoint.awaitingMs - this->readingMs(choice.model, choice.uncachedTokens));
+    std::uint64_t &sentMs = endpoint.answeredSentMs[choice.model];
+    sentMs = std::max(sentMs, nowMs - tookMs);
     const bool isTimed = choice.uncachedTokens >= LeastTimedTokens && tookMs > 0;
     if (isTimed) {
         const double measured = static_cast<double>(choice.uncachedTokens) / static_cast<double>(tookMs);
         const double bounded = std::clamp(measured, SlowestTokensPerMs, FastestTokensPerMs);
-        this->tokensPerMs += PaceWeight * (bounded - this->tokensPerMs);
+        double &pace = this->tokensPerMs.try_emplace(choice.model, this->options.tokensPerMs).first->second;
+        pace += PaceWeight * (bounded - pace);
     }
 }
 
@@ -253,7 +262,7 @@
     Known &endpoint = found->second;
     endpoint.running -= std::min<std::uint64_t>(endpoint.running, 1);
     if (!wasAnswered) {
-        endpoint.awaitingTokens -= std::min(endpoint.awaitingTokens, choice.uncachedTokens);
+        endpoint.awaitingMs = std::max(0.0, endpoint.awaitingMs - this->readingMs(choice.model, choice.uncachedTokens));
     }
     if (end == AttemptEnd::Whole) {
         endpoint.failedInRow = 0;
@@ -275,6 +284,16 @@
     }
 }
 
+bool DirectEndpoints::isOvertaken(const EndpointChoice &choice, std::uint64_t startedMs) const
+{
+    const auto found = this->known.find(choice.endpoint);
+    if (found == this->known.end()) {
+        return true;
+    }
+    const auto answered = found->second.answeredSentMs.find(choice.model);
+    return answered != found->second.answeredSentMs.end() && answered->second > startedMs + this->options.overtakenMs;
+}
+
 bool DirectEndpoints::isReady(const std::string &name) const
 {
     const auto found = this->known.find(name);
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -36,8 +36,6 @@
     /** Empty for a plain service. */
     std::vector<PromptPart> prompt;
     std::string model;
-    /** Time of a token with this model over that of the model with pace 1. */
-    double pace = 1;
 };
 
 /** \class EndpointChoice
@@ -50,6 +48,7 @@
     std::string version;
     double expectedMs = 0;
     std::uint64_t uncachedTokens = 0;
+    std::string model;
     /** \c home, \c spill, \c least-loaded or \c last-resort. */
     std::string reason;
 
@@ -91,6 +90,8 @@
     /** Share of failures, over about ten attempts, that ejects. */
     double failedShare = 0.35;
     std::uint64_t ejectMs = 2000;
+    /** An answer to a request sent this much later shows that an earlier one hangs: priorities reorder less than that. */
+    std::uint64_t overtakenMs = 800;
     /** Shared prompts remembered for each endpoint: more than an engine's memory holds. */
     std::size_t prefixes = 512;
 };
@@ -118,10 +119,13 @@
     /** An attempt was sent. \sa ended() */
     void started(const EndpointQuestion &question, const EndpointChoice &choice, std::uint64_t nowMs);
     /** The first event or the answer's head came after \a tookMs. */
-    void answered(const EndpointChoice &choice, std::uint64_t tookMs);
+    void answered(const EndpointChoice &choice, std::uint64_t tookMs, std::uint64_t nowMs);
     /** \a wasAnswered: whether answered() was called for it. */
     void ended(const EndpointChoice &choice, AttemptEnd end, bool wasAnswered, std::uint64_t nowMs);
 
+    /** \returns whether \a choice, sent at \a startedMs, was overtaken by later requests of the same model: it hangs rather than waits */
+    bool isOvertaken(const EndpointChoice &choice, std::uint64_t startedMs) const;
+
     /** \returns whether \a endpoint is known and was not said to be leaving, gone or silent */
     bool isReady(const std::string &endpoint) const;
 
@@ -132,12 +136,15 @@
     struct Known {
         Wire::EndpointAnnouncement announcement;
         std::uint64_t running = 0;
-        std::uint64_t awaitingTokens = 0;
+        /** Time that prompts sent here and not answered yet take, in ms. */
+        double awaitingMs = 0;
         unsigned failedInRow = 0;
         unsigned ejections = 0;
         double failedShare = 0;
         std::uint64_t ejectedUntilMs = 0;
         std::unordered_map<std::uint64_t, std::uint64_t> prefixUsedMs;
+        /** When the latest request was sent that has been answered, by model. */
+        std::map<std::string, std::uint64_t> answeredSentMs;
     };
     struct Scored {
         const Known *endpoint = nullptr;
@@ -148,13 +155,15 @@
     Scored score(const Known &endpoint, const EndpointQuestion &question, const std::string &home) const;
     std::string homeOf(const std::vector<const Known *> &usable, const EndpointQuestion &question) const;
     std::vector<const Known *> usable(const EndpointQuestion &question, bool wanted, bool ejectedToo, std::uint64_t nowMs) const;
+    double readingMs(const std::string &model, std::uint64_t tokens) const;
     std::uint64_t cachedTokens(const Known &endpoint, const EndpointQuestion &question) const;
     void eject(Known &endpoint, std::uint64_t nowMs) const;
     bool mayEject(const std::string &service, std::uint64_t nowMs) const;
 
     DirectEndpointsOptions options;
     std::uint32_t gateways = 4;
-    double tokensPerMs = 0;
+    /** Prompt tokens that an engine reads in a ms with each model, as measured. */
+    std::map<std::string, double> tokensPerMs;
     std::map<std::string, Known> known;
 };
 
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -28,8 +28,8 @@
 constexpr milliseconds WatchInterval{150};
 /** A repeatable request goes elsewhere after this many latency objectives without an answer. */
 constexpr unsigned SilentObjectives = 3;
-/** A stream without its first event goes elsewhere after its latency objective and this many times what was expected. */
-constexpr double SilentExpectations = 3;
+/** A stream that was overtaken goes elsewhere after this part of its latency objective without its first event. */
+constexpr unsigned SilentObjectiveParts = 2;
 /** A stream of an endpoint that answers others goes elsewhere after this pause: longer than the pauses of a preemption. */
 constexpr std::uint64_t LongestPauseMs = 2500;
 /** Attempts that did not run are free for the endpoint; still, each costs the caller time. */
@@ -103,6 +103,7 @@
     }
     this->deadlineMs = this->arrivedMs + waitMs;
     this->lastEventId = this->request.lastEventId;
+    this->model = this->request.anyModel ? ModelLadder::first(this->route) : this->request.model;
     const std::string &drawn = this->request.session.empty() ? this->request.id : this->request.session;
     this->draw = XXH3_64bits(drawn.data(), drawn.size());
     this->service = PlanIndex::serviceFor(this->route, XXH3_64bits_withSeed(this->request.id.data(), this->request.id.size(), 1));
@@ -126,15 +127,10 @@
         .versions = this->context.versions.rule(this->service, this->request.session, this->draw, this->now()),
         .avoid = this->tried,
         .prompt = this->request.prompt,
-        .model = this->request.anyModel ? this->modelFor() : this->request.model,
+        .model = this->model,
     };
 }
 
-std::string ForwardRun::modelFor() const
-{
-    return this->route.models().empty() ? std::string() : this->route.models(this->route.models_size() - 1);
-}
-
 unsigned ForwardRun::priority() const
 {
     constexpr unsigned Least = 9;
@@ -164,7 +160,7 @@
         .organisation = this->organisation == nullptr ? std::string() : this->organisation->name(),
         .leftMs = this->leftMs(),
         .priority = this->priority(),
-        .model = this->request.anyModel ? this->modelFor() : std::string(),
+        .model = this->request.anyModel ? this->model : std::string(),
         .lastEventId = this->lastEventId,
     };
     return {
@@ -230,9 +226,55 @@
     if (isOther || current.head.isEncoded || (ForwardRun::isSuccess(current.head) && (!current.head.isSigned || current.head.requestId.empty()))) {
         // Not this request's answer, or not the endpoint's: nothing of it may be used.
         this->endAttempt(AttemptEnd::Broken, Verdict::MayHaveRun, "answer-spoiled");
+        return;
+    }
+    if (this->shouldEscalate()) {
+        this->escalate();
     }
 }
 
+bool ForwardRun::shouldEscalate()
+{
+    const std::string next = this->request.anyModel ? ModelLadder::next(this->route, this->model) : std::string();
+    const EndpointAnswerHead &head = this->attempt->head;
+    const bool isPossible = !next.empty() && !this->isStreamStarted && this->isStreaming() && ForwardRun::isSuccess(head) && head.confidence
+        && this->runs + 1 < this->route.max_attempts();
+    if (!isPossible) {
+        return false;
+    }
+    EndpointQuestion asked = this->question();
+    asked.model = next;
+    asked.avoid.clear();
+    const std::optional<EndpointChoice> choice = this->context.endpoints.choose(asked, this->now());
+    const std::uint64_t usedMs = this->now() - this->arrivedMs;
+    const bool wanted = choice
+        && this->context.ladder.shouldEscalate({
+            .confidence = head.confidence,
+            .objectiveLeftMs = static_cast<double>(this->route.objective_ms()) - static_cast<double>(usedMs),
+            .expectedMs = choice->expectedMs,
+        });
+    return wanted && this->context.retries.take(this->service, this->now());
+}
+
+void ForwardRun::escalate()
+{
+    Attempt &current = *this->attempt;
+    this->noteAnswered(false);
+    current.call.reset();
+    this->context.endpoints.ended(current.choice, AttemptEnd::Whole, true, this->now());
+    this->context.counts.ended(this->service, current.choice.version, this->route.name());
+    ++this->runs;
+    this->verdict = combined(this->verdict, Verdict::Ran);
+    this->model = ModelLadder::next(this->route, this->model);
+    this->tried.clear();
+    logLine(LogLevel::Info,
+            "model-escalated",
+            {{"request", this->request.id}, {"confidence", static_cast<std::int64_t>(*current.head.confidence)}, {"model", this->model}});
+    this->context.metrics.count("models_escalated_total", this->route.name());
+    this->endedAttempts.push_back(std::move(this->attempt));
+    this->dispatch();
+}
+
 bool ForwardRun::isSuccess(const EndpointAnswerHead &head)
 {
     return head.status >= StatusOk && head.status < StatusRedirect;
@@ -289,7 +331,7 @@
         return;
     }
     const std::uint64_t tookMs = this->now() - current.startedMs;
-    this->context.endpoints.answered(current.choice, tookMs);
+    this->context.endpoints.answered(current.choice, tookMs, this->now());
     this->context.counts.answered(this->service, current.choice.version, this->route.name(), failed, static_cast<double>(tookMs));
 }
 
@@ -402,8 +444,8 @@
     if (!this->isStreaming()) {
         isOverdue = silentMs > SilentObjectives * objectiveMs;
     } else if (!this->attempt->wasAnswered) {
-        const auto expectedMs = static_cast<std::uint64_t>(SilentExpectations * this->attempt->choice.expectedMs);
-        isOverdue = silentMs > std::max(objectiveMs, expectedMs);
+        const bool isOvertaken = this->context.endpoints.isOvertaken(this->attempt->choice, this->attempt->startedMs);
+        isOverdue = isOvertaken && silentMs > objectiveMs / SilentObjectiveParts;
     } else {
         isOverdue = silentMs > LongestPauseMs;
     }
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -55,7 +55,8 @@
     EndpointQuestion question();
     void send(const EndpointQuestion &question, const EndpointChoice &choice);
     HttpCallOptions callOptions(const EndpointChoice &choice);
-    std::string modelFor() const;
+    bool shouldEscalate();
+    void escalate();
     unsigned priority() const;
 
     // What comes back
@@ -89,6 +90,8 @@
     const Wire::PlanRoute &route;
     const Wire::PlanOrganisation *organisation;
     std::string service;
+    /** The model asked now, where the caller leaves the choice. */
+    std::string model;
     std::uint64_t draw = 0;
     std::uint64_t arrivedMs = 0;
     std::uint64_t deadlineMs = 0;
--- a/Apricothead/src/Gateway/GatewayContext.h
+++ b/Apricothead/src/Gateway/GatewayContext.h
@@ -6,6 +6,7 @@
 
 #include "../Coordination/Metrics.h"
 #include "../Decisions/DirectEndpoints.h"
+#include "../Decisions/ModelLadder.h"
 #include "../Decisions/RetryWindow.h"
 #include "../Decisions/VersionSplit.h"
 #include "../Protocol/Settings.h"
@@ -31,6 +32,7 @@
     DirectEndpoints endpoints;
     VersionSplit versions;
     RetryWindow retries;
+    ModelLadder ladder;
     VersionCounts counts;
     Metrics metrics;
     std::unique_ptr<ServingView> view;
--- a/Apricothead/src/Transport/HttpClient.cpp
+++ b/Apricothead/src/Transport/HttpClient.cpp
@@ -129,6 +129,9 @@
         ++this->depth;
         curl_multi_socket_action(this->multi, socket, events, &running);
         --this->depth;
+        if (this->depth == 0) {
+            this->addWaiting();
+        }
         this->reportEnded();
         if (!stillAlive.expired()) {
             this->removeCancelled();
@@ -190,10 +193,26 @@
     {
         auto transfer = std::make_shared<detail::HttpTransfer>(this->loop, *this, this->alive, std::move(options));
         this->transfers[transfer->native()] = transfer;
-        curl_multi_add_handle(this->multi, transfer->native());
+        if (this->depth > 0) {
+            // libcurl takes no transfer from inside its own hooks.
+            this->waitingTransfers.push_back(transfer->native());
+        } else {
+            curl_multi_add_handle(this->multi, transfer->native());
+        }
         return transfer;
     }
 
+    void addWaiting()
+    {
+        std::vector<CURL *> waiting;
+        waiting.swap(this->waitingTransfers);
+        for (CURL *easy : waiting) {
+            if (this->transfers.contains(easy)) {
+                curl_multi_add_handle(this->multi, easy);
+            }
+        }
+    }
+
     EventLoop &loop;
     CURLM *multi;
     ev::timer timer;
@@ -202,6 +221,7 @@
     std::unordered_map<curl_socket_t, std::unique_ptr<SocketWatch>> sockets;
     std::vector<std::unique_ptr<SocketWatch>> formerSockets;
     std::vector<CURL *> cancelledTransfers;
+    std::vector<CURL *> waitingTransfers;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     int depth = 0;
 };
