--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -26,6 +26,8 @@
 /** The platform asks once a second whether the gateway is ready, and takes two misses. */
 constexpr std::uint64_t NoticeMs = 3200;
 constexpr milliseconds StopCheckInterval{50};
+/** New connections bring their request within this time. */
+constexpr milliseconds KeptIdle{300};
 /** What still runs is cut this long before the platform ends the process. */
 constexpr std::uint64_t StopMarginMs = 500;
 /** Callers reuse connections for four fifths of their limit on idle time; theirs must be the first to end. */
@@ -206,6 +208,8 @@
 void GatewayTask::Private::checkStopped()
 {
     const std::uint64_t since = this->context.loop.nowMs() - this->stoppingSinceMs;
+    // A kept connection could bring a request at the last moment.
+    this->server->closeIdle(KeptIdle);
     if (since < NoticeMs) {
         return;
     }
--- a/Apricothead/src/Transport/HttpServer.cpp
+++ b/Apricothead/src/Transport/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <ev++.h>
+#include <set>
 #include <stdexcept>
 #include <unistd.h>
 #include <unordered_map>
@@ -286,6 +287,24 @@
         }
     }
 
+    void closeIdle(std::uint64_t idleMs)
+    {
+        std::set<const MHD_Connection *> busy;
+        for (const auto &[key, exchange] : this->exchanges) {
+            busy.insert(exchange->nativeConnection());
+        }
+        const std::uint64_t now = this->loop.nowMs();
+        for (const auto &[connection, since] : this->readingSince) {
+            if (busy.contains(connection) || now - since < idleMs) {
+                continue;
+            }
+            const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+            if (info != nullptr) {
+                shutdown(info->connect_fd, SHUT_RDWR);
+            }
+        }
+    }
+
     void defer(std::function<void()> hook)
     {
         if (this->isStopping) {
@@ -373,6 +392,11 @@
     this->d->closesAfterAnswers = true;
 }
 
+void HttpServer::closeIdle(std::chrono::milliseconds idle)
+{
+    this->d->closeIdle(static_cast<std::uint64_t>(idle.count()));
+}
+
 void HttpServer::stopListening()
 {
     if (std::exchange(this->d->isQuiesced, true)) {
--- a/Apricothead/src/Transport/HttpServer.h
+++ b/Apricothead/src/Transport/HttpServer.h
@@ -98,6 +98,9 @@
     /** Tells callers with each answer to make a new connection for their next request, and closes this one. */
     void closeAfterAnswers();
 
+    /** Closes connections that have not brought any part of a request for \a idle. */
+    void closeIdle(std::chrono::milliseconds idle);
+
     /** Accepts no new connection; open ones go on. */
     void stopListening();
 
--- a/Apricothead/src/Transport/Log.cpp
+++ b/Apricothead/src/Transport/Log.cpp
@@ -9,6 +9,7 @@
 #include <boost/log/utility/setup/console.hpp>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <iostream>
 
@@ -17,7 +18,7 @@
 
 struct LogState {
     std::string process;
-    LogLevel least = LogLevel::Info;
+    std::atomic<LogLevel> least = LogLevel::Info;
     bool started = false;
 };
 
@@ -58,6 +59,11 @@
         std::clog, boost::log::keywords::format = Expressions::stream << Expressions::smessage, boost::log::keywords::auto_flush = true);
 }
 
+void setLogLevel(LogLevel least)
+{
+    logState().least = least;
+}
+
 void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     const LogState &state = logState();
--- a/Apricothead/src/Transport/Log.h
+++ b/Apricothead/src/Transport/Log.h
@@ -31,6 +31,9 @@
 /** Sets the least level that is written. Lines go to standard error. */
 void startLog(std::string_view process, LogLevel least);
 
+/** Changes the least level that is written. */
+void setLogLevel(LogLevel least);
+
 /** Writes one JSON line: time, process, level, \a event (a short kebab-case name) and \a fields. Never pass keys of callers or text of prompts. */
 void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
--- a/app/ServeCommand.cpp
+++ b/app/ServeCommand.cpp
@@ -33,6 +33,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
@@ -86,7 +87,7 @@
 class Server
 {
 public:
-    explicit Server(Settings given) : settings(std::move(given))
+    Server(Settings given, std::string settingsPath) : settings(std::move(given)), path(std::move(settingsPath))
     { }
 
     int run()
@@ -97,6 +98,10 @@
         this->startRoles();
         int signal = 0;
         sigwait(&signals, &signal);
+        while (signal == SIGHUP && !this->failed) {
+            this->reload();
+            sigwait(&signals, &signal);
+        }
         if (this->failed) {
             this->endNow(ExitFailure);
         }
@@ -130,6 +135,23 @@
             }));
     }
 
+    /**
+     * Reads the settings again and says what became of it. Addresses, folders and bounds of a running role stay as they are until its next
+     * start: replicas that join or leave are learned from the group.
+     */
+    void reload()
+    {
+        const SettingsResult read = readSettingsFile(this->path);
+        if (!read) {
+            logLine(LogLevel::Error, "settings-refused", {{"path", read.error().front().path}, {"message", read.error().front().message}});
+            return;
+        }
+        const bool isChanged = !(read.value() == this->settings);
+        setLogLevel(levelFromName(read.value().logLevel));
+        logLine(LogLevel::Info, "settings-reloaded", {{"changed", isChanged}});
+        this->settings = read.value();
+    }
+
     void startRoles()
     {
         if (this->settings.entry) {
@@ -182,7 +204,8 @@
             *done = true;
         });
         while (!*done) {
-            if (sigtimedwait(&signals, nullptr, &Slice) > 0 || std::chrono::steady_clock::now() > deadline) {
+            const int signal = sigtimedwait(&signals, nullptr, &Slice);
+            if ((signal > 0 && signal != SIGHUP) || std::chrono::steady_clock::now() > deadline) {
                 return false;
             }
         }
@@ -197,6 +220,7 @@
     }
 
     Settings settings;
+    std::string path;
     std::atomic<bool> failed = false;
     std::vector<std::unique_ptr<RoleThread>> roles;
 };
@@ -211,7 +235,7 @@
     }
     startLog(settings.value().process, levelFromName(settings.value().logLevel));
     logMessageErrors();
-    return Server(settings.value()).run();
+    return Server(settings.value(), line.settings).run();
 }
 
 } // namespace Apricothead
