--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -107,7 +107,8 @@
 class DirectEndpoints
 {
 public:
-    explicit DirectEndpoints(DirectEndpointsOptions options = {});
+    DirectEndpoints() = default;
+    explicit DirectEndpoints(DirectEndpointsOptions options);
 
     void setGateways(std::uint32_t gateways);
 
--- a/Apricothead/src/Decisions/RetryWindow.h
+++ b/Apricothead/src/Decisions/RetryWindow.h
@@ -30,7 +30,8 @@
 class RetryWindow
 {
 public:
-    explicit RetryWindow(RetryWindowOptions options = {});
+    RetryWindow() = default;
+    explicit RetryWindow(RetryWindowOptions options);
 
     /** \a gateways: how many share the slack, this one included. */
     void setGateways(std::uint32_t gateways);
--- /dev/null
+++ b/test/directendpoints.cpp
@@ -0,0 +1,142 @@
+#define BOOST_TEST_MODULE directendpoints
+#include "main.h"
+
+#include <Apricothead/Decisions>
+
+#include <set>
+
+using namespace Apricothead;
+
+namespace {
+
+Wire::EndpointAnnouncement endpoint(const std::string &name, const std::string &version = "v1", std::int64_t bornMs = 1)
+{
+    Wire::EndpointAnnouncement made;
+    made.set_endpoint(name);
+    made.set_service("pool");
+    made.set_address("10.0.0.1:" + name);
+    made.set_version(version);
+    made.set_state(Wire::ANNOUNCED_STATE_READY);
+    made.set_born_ms(bornMs);
+    return made;
+}
+
+DirectEndpoints pool(unsigned count)
+{
+    DirectEndpoints endpoints;
+    for (unsigned number = 0; number < count; ++number) {
+        endpoints.announce(endpoint(std::to_string(number)));
+    }
+    return endpoints;
+}
+
+EndpointQuestion question(std::uint64_t sharedPart = 1)
+{
+    return {.service = "pool", .prompt = {{.id = sharedPart, .tokens = 10000}, {.id = 99, .tokens = 500}}, .model = "small"};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(gatewaysAgreeOnAHomeWithoutAMessage)
+{
+    const DirectEndpoints one = pool(12);
+    const DirectEndpoints other = pool(12);
+    std::set<std::string> homes;
+    for (std::uint64_t part = 0; part < 50; ++part) {
+        const auto choice = one.choose(question(part), 0);
+        BOOST_TEST(choice->endpoint == other.choose(question(part), 0)->endpoint);
+        BOOST_TEST(choice->reason == "home");
+        homes.insert(choice->endpoint);
+    }
+    BOOST_TEST(homes.size() >= 9U);
+}
+
+BOOST_AUTO_TEST_CASE(workSpillsOnlyWhenWaitingCostsMoreThanReading)
+{
+    DirectEndpoints endpoints = pool(4);
+    const auto home = endpoints.choose(question(), 0);
+    endpoints.started(question(), *home, 0);
+    BOOST_TEST(endpoints.choose(question(), 0)->endpoint == home->endpoint);
+    for (unsigned more = 0; more < 60; ++more) {
+        endpoints.started(question(), *home, 0);
+    }
+    const auto spilled = endpoints.choose(question(), 0);
+    BOOST_TEST(spilled->endpoint != home->endpoint);
+    BOOST_TEST(spilled->reason == "spill");
+}
+
+BOOST_AUTO_TEST_CASE(leavingAndUnknownEndpointsGetNothing)
+{
+    DirectEndpoints endpoints = pool(1);
+    Wire::EndpointAnnouncement leaving = endpoint("0");
+    leaving.set_state(Wire::ANNOUNCED_STATE_LEAVING);
+    endpoints.announce(leaving);
+    BOOST_TEST(!endpoints.choose(question(), 0).has_value());
+    EndpointQuestion other = question();
+    other.service = "yard";
+    BOOST_TEST(!endpoints.choose(other, 0).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(failingEndpointIsEjectedFromFewSamplesAndNeverMoreThanHalf)
+{
+    DirectEndpoints endpoints = pool(4);
+    std::set<std::string> failing;
+    for (unsigned round = 0; round < 40; ++round) {
+        const auto choice = endpoints.choose(question(round), 100);
+        endpoints.started(question(round), *choice, 100);
+        endpoints.ended(*choice, AttemptEnd::Broken, false, 100);
+        failing.insert(choice->endpoint);
+    }
+    std::set<std::string> used;
+    for (std::uint64_t part = 0; part < 60; ++part) {
+        used.insert(endpoints.choose(question(part), 101)->endpoint);
+    }
+    BOOST_TEST(used.size() == 2U);
+    // All come back after their time.
+    used.clear();
+    for (std::uint64_t part = 0; part < 60; ++part) {
+        used.insert(endpoints.choose(question(part), 20000)->endpoint);
+    }
+    BOOST_TEST(used.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(unreachableEndpointIsEjectedAtOnce)
+{
+    DirectEndpoints endpoints = pool(3);
+    const auto choice = endpoints.choose(question(), 0);
+    endpoints.started(question(), *choice, 0);
+    endpoints.ended(*choice, AttemptEnd::Unreachable, false, 0);
+    BOOST_TEST(endpoints.choose(question(), 1)->endpoint != choice->endpoint);
+    // A new incarnation has no history.
+    endpoints.announce(endpoint(choice->endpoint, "v1", 2));
+    BOOST_TEST(endpoints.choose(question(), 1)->endpoint == choice->endpoint);
+}
+
+BOOST_AUTO_TEST_CASE(hangingRequestIsKnownByLaterOnesThatWereAnswered)
+{
+    DirectEndpoints endpoints = pool(1);
+    const auto choice = endpoints.choose(question(), 1000);
+    endpoints.started(question(), *choice, 1000);
+    BOOST_TEST(!endpoints.isOvertaken(*choice, 1000));
+    const auto later = endpoints.choose(question(2), 2000);
+    endpoints.started(question(2), *later, 2000);
+    endpoints.answered(*later, 100, 2100);
+    BOOST_TEST(endpoints.isOvertaken(*choice, 1000));
+    BOOST_TEST(!endpoints.isOvertaken(*choice, 1900));
+}
+
+BOOST_AUTO_TEST_CASE(versionRuleIsKept)
+{
+    DirectEndpoints endpoints;
+    endpoints.announce(endpoint("0", "v1"));
+    endpoints.announce(endpoint("1", "v2"));
+    EndpointQuestion asked = question();
+    asked.versions = {.target = "v2", .wantsTarget = true, .mayFallBack = false};
+    BOOST_TEST(endpoints.choose(asked, 0)->version == "v2");
+    asked.versions.wantsTarget = false;
+    BOOST_TEST(endpoints.choose(asked, 0)->version == "v1");
+    asked.avoid = {"0"};
+    BOOST_TEST(!endpoints.choose(asked, 0).has_value());
+    asked.versions.mayFallBack = true;
+    BOOST_TEST(endpoints.choose(asked, 0)->version == "v2");
+}
--- /dev/null
+++ b/test/forwardrun.cpp
@@ -0,0 +1,575 @@
+#define BOOST_TEST_MODULE forwardrun
+#include "main.h"
+
+#include "scriptedendpoint.h"
+#include "support/Wait.h"
+
+#include <Apricothead/Gateway>
+#include <Apricothead/Transport>
+
+#include <optional>
+
+using namespace Apricothead;
+using namespace Apricothead::Test;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds Patience{8000};
+
+/** What the caller got. */
+class RecordedReply : public HttpReply
+{
+public:
+    void send(unsigned givenStatus, const HttpHeaders &givenHeaders, std::string givenBody) override
+    {
+        this->status = givenStatus;
+        this->headers = givenHeaders;
+        this->body = std::move(givenBody);
+        this->isEnded = true;
+    }
+    void startStream(unsigned givenStatus, const HttpHeaders &givenHeaders) override
+    {
+        this->status = givenStatus;
+        this->headers = givenHeaders;
+    }
+    void write(std::string_view bytes) override
+    {
+        this->body.append(bytes);
+    }
+    void finish() override
+    {
+        this->isEnded = true;
+        this->isWhole = true;
+    }
+    void abort() override
+    {
+        this->isEnded = true;
+        this->isAborted = true;
+    }
+    std::size_t queuedBytes() const override
+    {
+        return 0;
+    }
+    void onDisconnect(std::function<void()> hook) override
+    {
+        this->leave = std::move(hook);
+    }
+    void onDrained(std::function<void()>) override
+    { }
+    void onSent(std::function<void()>) override
+    { }
+
+    unsigned status = 0;
+    HttpHeaders headers;
+    std::string body;
+    bool isEnded = false;
+    bool isWhole = false;
+    bool isAborted = false;
+    std::function<void()> leave;
+};
+
+/** A dialect of short field names. */
+GatewayDialect testDialect()
+{
+    return {
+        .encode =
+            [](const ForwardRequest &request, const DispatchTerms &terms) {
+                HttpHeaders headers{{"id", request.id}, {"to", terms.endpoint}, {"left", std::to_string(terms.leftMs)}};
+                if (!terms.lastEventId.empty()) {
+                    headers["after"] = terms.lastEventId;
+                }
+                if (!terms.model.empty()) {
+                    headers["model"] = terms.model;
+                }
+                return headers;
+            },
+        .readHead =
+            [](unsigned status, const HttpHeaders &headers) {
+                const auto field = [&headers](const char *name) {
+                    const auto found = headers.find(name);
+                    return found == headers.end() ? std::string() : found->second;
+                };
+                EndpointAnswerHead head{
+                    .status = status,
+                    .isNotRun = headers.contains("not-run"),
+                    .requestId = field("id"),
+                    .isSigned = headers.contains("signed"),
+                    .isEncoded = headers.contains("content-encoding"),
+                };
+                if (headers.contains("sure")) {
+                    head.confidence = std::stoi(field("sure"));
+                }
+                return head;
+            },
+    };
+}
+
+Wire::ServicePlan testPlan(Wire::RepeatRule repeat, unsigned attempts, std::uint64_t timeoutMs)
+{
+    Wire::ServicePlan plan;
+    plan.set_revision(1);
+    plan.add_services()->set_name("yard");
+    Wire::PlanRoute *route = plan.add_routes();
+    route->set_name("route");
+    route->set_host("host");
+    route->set_path_prefix("/");
+    route->set_repeat(repeat);
+    route->set_resumable(repeat == Wire::REPEAT_RULE_STREAM);
+    route->set_timeout_ms(timeoutMs);
+    route->set_objective_ms(200);
+    route->set_max_attempts(attempts);
+    Wire::ServiceShare *share = route->add_services();
+    share->set_service("yard");
+    share->set_weight(1);
+    return plan;
+}
+
+/** A gateway without replicas, before scripted endpoints. */
+struct GatewayWorld {
+    explicit GatewayWorld(Wire::RepeatRule repeat, unsigned attempts = 3, std::uint64_t timeoutMs = 4000)
+        : plan(std::make_shared<const PlanIndex>(testPlan(repeat, attempts, timeoutMs)))
+        , context{
+              .loop = loop,
+              .settings = {},
+              .dialect = testDialect(),
+              .client = HttpClient(loop),
+              .versions = VersionSplit(5000),
+              .onEnded =
+                  [this](const ForwardRun *) {
+                      ++this->endedRuns;
+                  },
+          }
+    {
+        Settings settings;
+        settings.process = "gateway";
+        this->context.view = std::make_unique<ServingView>(this->loop,
+                                                           ServingViewOptions{
+                                                               .settings = settings,
+                                                               .onServing = [](const Wire::ServingState &) {},
+                                                               .onEndpoint = [](const Wire::EndpointAnnouncement &) {},
+                                                               .countVersions =
+                                                                   [] {
+                                                                       return std::vector<Wire::VersionCount>();
+                                                                   },
+                                                           });
+    }
+
+    void announce(const std::string &name, const std::string &address)
+    {
+        Wire::EndpointAnnouncement announcement;
+        announcement.set_endpoint(name);
+        announcement.set_service("yard");
+        announcement.set_address(address);
+        announcement.set_state(Wire::ANNOUNCED_STATE_READY);
+        announcement.set_born_ms(1);
+        this->context.endpoints.announce(announcement);
+    }
+
+    std::shared_ptr<RecordedReply> start(const std::string &id, std::string body = {})
+    {
+        auto reply = std::make_shared<RecordedReply>();
+        ForwardRequest request{.id = id, .host = "host", .method = body.empty() ? "GET" : "POST", .target = "/work", .path = "/work"};
+        request.body = std::move(body);
+        this->runs.push_back(std::make_unique<ForwardRun>(this->context, std::move(request), reply, this->plan, &this->plan->plan().routes(0), nullptr));
+        this->runs.back()->start();
+        return reply;
+    }
+
+    std::shared_ptr<RecordedReply> answerTo(const std::string &id, std::string body = {})
+    {
+        const auto reply = this->start(id, std::move(body));
+        BOOST_TEST(runUntil(
+            this->loop,
+            [&reply] {
+                return reply->isEnded;
+            },
+            Patience));
+        return reply;
+    }
+
+    void runFor(milliseconds time)
+    {
+        const std::uint64_t end = this->loop.nowMs() + static_cast<std::uint64_t>(time.count());
+        runUntil(
+            this->loop,
+            [this, end] {
+                return this->loop.nowMs() >= end;
+            },
+            Patience);
+    }
+
+    EventLoop loop;
+    std::shared_ptr<const PlanIndex> plan;
+    GatewayContext context;
+    std::vector<std::unique_ptr<ForwardRun>> runs;
+    unsigned endedRuns = 0;
+};
+
+std::string answerOf(const std::string &head, const std::string &body, const std::string &more = {})
+{
+    return "HTTP/1.1 200 OK\r\nid: " + headerOf(head, "id") + "\r\nsigned: yes\r\n" + more + "content-length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+}
+
+std::string streamHead(const std::string &head, const std::string &more = {})
+{
+    return "HTTP/1.1 200 OK\r\nid: " + headerOf(head, "id") + "\r\nsigned: yes\r\n" + more + "transfer-encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string &bytes)
+{
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+std::string event(unsigned number)
+{
+    return "id: " + std::to_string(number) + "\ndata: x\n\n";
+}
+
+constexpr const char *LastChunk = "0\r\n\r\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(answerIsPassedWhole)
+{
+    ScriptedEndpoint endpoint([](ScriptedConnection &connection, const std::string &head) {
+        connection.send(answerOf(head, "pole"));
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1);
+    world.announce("one", endpoint.address());
+    const auto reply = world.answerTo("r1");
+    BOOST_TEST(reply->status == 200U);
+    BOOST_TEST(reply->body == "pole");
+    BOOST_TEST(headerOf(endpoint.requests().front(), "to") == "one");
+    BOOST_TEST(std::stoul(headerOf(endpoint.requests().front(), "left")) <= 4000UL);
+}
+
+BOOST_AUTO_TEST_CASE(connectionIsKept)
+{
+    ScriptedEndpoint endpoint([](ScriptedConnection &connection, const std::string &head) {
+        connection.send(answerOf(head, "pole"));
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1);
+    world.announce("one", endpoint.address());
+    for (unsigned number = 0; number < 5; ++number) {
+        BOOST_TEST(world.answerTo("r" + std::to_string(number))->status == 200U);
+    }
+    BOOST_TEST(endpoint.connectionCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(keptConnectionThatIsClosedNeverSendsTwice)
+{
+    // The endpoint reads the second request on the kept connection and closes without a byte: it may have run.
+    unsigned requests = 0;
+    ScriptedEndpoint endpoint([&requests](ScriptedConnection &connection, const std::string &head) {
+        if (++requests == 2) {
+            connection.close();
+            return;
+        }
+        connection.send(answerOf(head, "pole"));
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1);
+    world.announce("one", endpoint.address());
+    BOOST_TEST(world.answerTo("r1")->status == 200U);
+    const auto reply = world.answerTo("r2");
+    BOOST_TEST(reply->status == 502U);
+    BOOST_TEST(endpoint.requests().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(onceRequestIsNotRepeatedAfterABrokenAnswer)
+{
+    ScriptedEndpoint endpoint([](ScriptedConnection &connection, const std::string &head) {
+        connection.send("HTTP/1.1 200 OK\r\nid: " + headerOf(head, "id") + "\r\nsigned: yes\r\ncontent-length: 100\r\n\r\npart");
+        connection.close();
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1);
+    world.announce("one", endpoint.address());
+    world.announce("two", endpoint.address());
+    const auto reply = world.answerTo("r1");
+    BOOST_TEST(reply->status == 502U);
+    BOOST_TEST(reply->body.find("part") == std::string::npos);
+    BOOST_TEST(endpoint.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(onceRequestGoesElsewhereWhenItDidNotRun)
+{
+    ScriptedEndpoint full([](ScriptedConnection &connection, const std::string &) {
+        connection.send("HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n");
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1);
+    world.announce("full-1", full.address());
+    world.announce("full-2", full.address());
+    const auto reply = world.answerTo("r1");
+    // Each endpoint was asked once; the refusal is true and says when to come back.
+    BOOST_TEST(full.requests().size() == 2U);
+    BOOST_TEST(reply->status == 503U);
+    BOOST_TEST(reply->headers.contains("Retry-After"));
+}
+
+BOOST_AUTO_TEST_CASE(unreachableEndpointIsNoRun)
+{
+    ScriptedEndpoint good([](ScriptedConnection &connection, const std::string &head) {
+        connection.send(answerOf(head, "pole"));
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1);
+    // Nothing listens on port 1.
+    world.announce("a-gone", "127.0.0.1:1");
+    world.announce("b-good", good.address());
+    BOOST_TEST(world.answerTo("r1")->status == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(repeatableRequestGoesElsewhereAfterAnError)
+{
+    unsigned requests = 0;
+    ScriptedEndpoint endpoint([&requests](ScriptedConnection &connection, const std::string &head) {
+        if (++requests == 1) {
+            connection.send("HTTP/1.1 500 Oops\r\nid: " + headerOf(head, "id") + "\r\nsigned: yes\r\ncontent-length: 0\r\n\r\n");
+            return;
+        }
+        connection.send(answerOf(head, "pole"));
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_REPEATABLE);
+    world.announce("one", endpoint.address());
+    world.announce("two", endpoint.address());
+    BOOST_TEST(world.answerTo("r1")->status == 200U);
+    BOOST_TEST(requests == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(endpointsErrorIsPassedUnchangedToAOnceRequest)
+{
+    ScriptedEndpoint endpoint([](ScriptedConnection &connection, const std::string &head) {
+        connection.send("HTTP/1.1 500 Oops\r\nid: " + headerOf(head, "id") + "\r\nsigned: yes\r\ncontent-length: 4\r\n\r\noops");
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1);
+    world.announce("one", endpoint.address());
+    const auto reply = world.answerTo("r1");
+    BOOST_TEST(reply->status == 500U);
+    BOOST_TEST(reply->body == "oops");
+}
+
+BOOST_AUTO_TEST_CASE(answersOfOtherRequestsAndOfOthersAreNotPassed)
+{
+    const std::vector<std::string> spoiled{
+        // Another request's id.
+        "HTTP/1.1 200 OK\r\nid: other\r\nsigned: yes\r\ncontent-length: 4\r\n\r\npole",
+        // No id.
+        "HTTP/1.1 200 OK\r\nsigned: yes\r\ncontent-length: 4\r\n\r\npole",
+        // Not signed.
+        "HTTP/1.1 200 OK\r\nid: r1\r\ncontent-length: 4\r\n\r\npole",
+        // Encoded on the way.
+        "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: yes\r\ncontent-encoding: gzip\r\ncontent-length: 4\r\n\r\npole",
+        // No answer in the protocol.
+        "these bytes are no answer\r\n\r\n",
+    };
+    for (const std::string &bytes : spoiled) {
+        ScriptedEndpoint endpoint([&bytes](ScriptedConnection &connection, const std::string &) {
+            connection.send(bytes);
+            connection.close();
+        });
+        GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1);
+        world.announce("one", endpoint.address());
+        const auto reply = world.answerTo("r1");
+        BOOST_TEST_CONTEXT(bytes)
+        {
+            BOOST_TEST(reply->status == 502U);
+            BOOST_TEST(reply->body.find("pole") == std::string::npos);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(extraAnswerIsNotTakenForTheNext)
+{
+    ScriptedEndpoint endpoint([](ScriptedConnection &connection, const std::string &head) {
+        connection.send(answerOf(head, "own-" + headerOf(head, "id")) + answerOf(head, "extra"));
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1);
+    world.announce("one", endpoint.address());
+    for (unsigned number = 0; number < 4; ++number) {
+        const std::string id = "r" + std::to_string(number);
+        BOOST_TEST(world.answerTo(id)->body == "own-" + id);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lateExtraAnswerIsNotTakenForTheNext)
+{
+    // The extra answer comes after the next request was sent on the kept connection.
+    std::string former;
+    ScriptedEndpoint endpoint([&former](ScriptedConnection &connection, const std::string &head) {
+        if (!former.empty()) {
+            connection.send(answerOf(former, "extra"));
+        }
+        former = head;
+        connection.send(answerOf(head, "own"));
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1);
+    world.announce("one", endpoint.address());
+    BOOST_TEST(world.answerTo("r1")->body == "own");
+    const auto reply = world.answerTo("r2");
+    BOOST_TEST(reply->status == 502U);
+    BOOST_TEST(reply->body.find("extra") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(unframedAnswerIsWholeOnlyWhenItsConnectionEndsInOrder)
+{
+    for (const bool isReset : {false, true}) {
+        ScriptedEndpoint endpoint([isReset](ScriptedConnection &connection, const std::string &head) {
+            connection.send("HTTP/1.1 200 OK\r\nid: " + headerOf(head, "id") + "\r\nsigned: yes\r\nconnection: close\r\n\r\npole");
+            std::this_thread::sleep_for(milliseconds(100));
+            isReset ? connection.reset() : connection.close();
+        });
+        GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1);
+        world.announce("one", endpoint.address());
+        const auto reply = world.answerTo("r1");
+        BOOST_TEST(reply->status == (isReset ? 502U : 200U));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(earlyAnswerToALongBodyLeavesNoRestForTheNextRequest)
+{
+    // A refusal before the body was read; what follows on that connection must not be taken for the rest of the body.
+    ScriptedEndpoint endpoint([](ScriptedConnection &connection, const std::string &head) {
+        if (headerOf(head, "id") == "long") {
+            connection.send("HTTP/1.1 503 Full\r\nnot-run: 1\r\nid: long\r\ncontent-length: 0\r\n\r\n");
+            std::this_thread::sleep_for(milliseconds(300));
+            connection.close();
+            return;
+        }
+        connection.send(answerOf(head, "pole"));
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1);
+    world.announce("one", endpoint.address());
+    BOOST_TEST(world.answerTo("long", std::string(3'000'000, 'b'))->status == 503U);
+    BOOST_TEST(world.answerTo("next")->body == "pole");
+    BOOST_TEST(endpoint.connectionCount() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(brokenStreamGoesOnElsewhereAfterTheLastWholeEvent)
+{
+    ScriptedEndpoint breaking([](ScriptedConnection &connection, const std::string &head) {
+        connection.send(streamHead(head) + chunk(event(1) + event(2) + "id: 3\nda"));
+        std::this_thread::sleep_for(milliseconds(50));
+        connection.reset();
+    });
+    ScriptedEndpoint good([](ScriptedConnection &connection, const std::string &head) {
+        std::string rest;
+        for (unsigned number = std::stoul(headerOf(head, "after")) + 1; number <= 4; ++number) {
+            rest += event(number);
+        }
+        connection.send(streamHead(head) + chunk(rest) + LastChunk);
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_STREAM);
+    world.announce("a-breaking", breaking.address());
+    world.announce("b-good", good.address());
+    const auto reply = world.answerTo("r1");
+    BOOST_TEST(reply->isWhole);
+    BOOST_TEST(reply->body == event(1) + event(2) + event(3) + event(4));
+}
+
+BOOST_AUTO_TEST_CASE(streamThatSkipsAnEventIsNotJoined)
+{
+    ScriptedEndpoint endpoint([](ScriptedConnection &connection, const std::string &head) {
+        const bool isResumed = !headerOf(head, "after").empty();
+        // The resumed run leaves out event 3.
+        connection.send(streamHead(head) + chunk(isResumed ? event(4) : event(1) + event(2)));
+        std::this_thread::sleep_for(milliseconds(50));
+        connection.reset();
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_STREAM);
+    world.announce("one", endpoint.address());
+    world.announce("two", endpoint.address());
+    const auto reply = world.answerTo("r1");
+    BOOST_TEST(reply->isAborted);
+    BOOST_TEST(!reply->isWhole);
+    BOOST_TEST(reply->body == event(1) + event(2));
+}
+
+BOOST_AUTO_TEST_CASE(streamEndsAtTheTimeoutAndDoesNotLookWhole)
+{
+    ScriptedEndpoint endpoint([](ScriptedConnection &connection, const std::string &head) {
+        connection.send(streamHead(head) + chunk(event(1)));
+        std::this_thread::sleep_for(milliseconds(1500));
+        connection.close();
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_STREAM, 1, 600);
+    world.announce("one", endpoint.address());
+    const std::uint64_t before = world.loop.nowMs();
+    const auto reply = world.answerTo("r1");
+    BOOST_TEST(reply->isAborted);
+    BOOST_TEST(world.loop.nowMs() - before < 900U);
+}
+
+BOOST_AUTO_TEST_CASE(silentEndpointEndsInATimeoutAtTheRoutesTime)
+{
+    ScriptedEndpoint endpoint([](ScriptedConnection &, const std::string &) {
+        std::this_thread::sleep_for(milliseconds(1200));
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1, 500);
+    world.announce("one", endpoint.address());
+    const std::uint64_t before = world.loop.nowMs();
+    const auto reply = world.answerTo("r1");
+    BOOST_TEST(reply->status == 504U);
+    const std::uint64_t took = world.loop.nowMs() - before;
+    BOOST_TEST(took >= 450U);
+    BOOST_TEST(took < 900U);
+}
+
+BOOST_AUTO_TEST_CASE(callThatItsCallerLeftIsClosed)
+{
+    std::atomic<bool> wasClosed = false;
+    ScriptedEndpoint endpoint([&wasClosed](ScriptedConnection &connection, const std::string &head) {
+        connection.send(streamHead(head) + chunk(event(1)));
+        // Writes fail once the gateway has closed the connection.
+        for (unsigned number = 2; number < 40; ++number) {
+            std::this_thread::sleep_for(milliseconds(50));
+            connection.send(chunk(event(number)));
+        }
+        wasClosed = true;
+        connection.close();
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_STREAM);
+    world.announce("one", endpoint.address());
+    const auto reply = world.start("r1");
+    BOOST_TEST(runUntil(
+        world.loop,
+        [&reply] {
+            return !reply->body.empty();
+        },
+        Patience));
+    const std::size_t before = reply->body.size();
+    reply->leave();
+    world.runFor(milliseconds(300));
+    BOOST_TEST(world.endedRuns == 1U);
+    BOOST_TEST(reply->body.size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(unsureAnswerOfTheSmallModelIsDroppedForTheLargest)
+{
+    ScriptedEndpoint endpoint([](ScriptedConnection &connection, const std::string &head) {
+        const bool isSmall = headerOf(head, "model") == "small";
+        connection.send(streamHead(head, isSmall ? "sure: 10\r\n" : "sure: 90\r\n"));
+        std::this_thread::sleep_for(milliseconds(30));
+        connection.send(chunk(isSmall ? "id: 1\ndata: small\n\n" : "id: 1\ndata: large\n\n") + LastChunk);
+    });
+    GatewayWorld world(Wire::REPEAT_RULE_STREAM);
+    Wire::ServicePlan plan = testPlan(Wire::REPEAT_RULE_STREAM, 3, 4000);
+    for (const char *model : {"small", "middle", "large"}) {
+        plan.mutable_routes(0)->add_models(model);
+    }
+    world.plan = std::make_shared<const PlanIndex>(plan);
+    world.announce("one", endpoint.address());
+    auto reply = std::make_shared<RecordedReply>();
+    const ForwardRequest request{.id = "r1", .host = "host", .method = "GET", .target = "/", .path = "/", .model = "*", .anyModel = true};
+    ForwardRun run(world.context, request, reply, world.plan, &world.plan->plan().routes(0), nullptr);
+    run.start();
+    BOOST_TEST(runUntil(
+        world.loop,
+        [&reply] {
+            return reply->isEnded;
+        },
+        Patience));
+    BOOST_TEST(reply->body == "id: 1\ndata: large\n\n");
+    BOOST_TEST(endpoint.requests().size() == 2U);
+}
--- /dev/null
+++ b/test/platform.cpp
@@ -0,0 +1,321 @@
+#define BOOST_TEST_MODULE platform
+#include "main.h"
+
+#include <platform/FrontDialect.h>
+#include <platform/PlanReader.h>
+
+#include <nlohmann/json.hpp>
+
+using namespace Apricothead;
+using namespace Apricothead::Platform;
+using Json = nlohmann::json;
+
+namespace {
+
+Json route()
+{
+    return {{"name", "r-1"},
+            {"host", "host.example"},
+            {"path_prefix", "/plans/"},
+            {"route_type", "streaming"},
+            {"timeout_ms", 12000},
+            {"target_latency_ms", 3000},
+            {"priority", 1},
+            {"sizes", {"small", "large"}},
+            {"service", "pool"},
+            {"max_attempts", 3},
+            {"public", false},
+            {"sticky", true},
+            {"resumable", true},
+            {"gap_aim_ms", 1500}};
+}
+
+Json plan()
+{
+    return {{"version", 7},
+            {"routes", Json::array({route()})},
+            {"services",
+             Json::array({Json{{"name", "pool"},
+                               {"health_path", "/health"},
+                               {"max_connections", 370},
+                               {"engine", {{"slots", 64}, {"kv_capacity", 500}, {"models", Json::array({Json{{"name", "small"}, {"cost", 0.5}}})}}}},
+                          Json{{"name", "yard"}, {"health_path", "/health"}, {"max_connections", 110}}})},
+            {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}},
+            {"tenants", Json::array({Json{{"name", "willow"}, {"api_keys", {"key-1", "key-2"}}, {"priority", 1}}})}};
+}
+
+Json heartbeat()
+{
+    return {{"service", "pool"},
+            {"address", "10.0.0.9:8080"},
+            {"zone", "a"},
+            {"version", "v1"},
+            {"slots", 64},
+            {"state", "ready"},
+            {"sequence", 4},
+            {"born", 17720},
+            {"cold_remaining_ms", 12},
+            {"stage", "both"}};
+}
+
+HttpRequest callersRequest()
+{
+    return {
+        .method = "POST",
+        .path = "/plans/2f",
+        .query = "q=1",
+        .headers = {{"host", "host.example"},
+                    {"apricothead-request-id", "9c41"},
+                    {"apricothead-deadline-ms", "12000"},
+                    {"apricothead-model", "*"},
+                    {"apricothead-token-usage", "1460,80"},
+                    {"apricothead-prompt-prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+                    {"authorization", "Bearer secret"},
+                    {"session", "s-1"},
+                    {"last-event-id", "12"},
+                    {"x-own", "kept"},
+                    {"connection", "keep-alive, x-hop"},
+                    {"x-hop", "1"},
+                    {"content-length", "4"}},
+        .body = "body",
+    };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(planIsRead)
+{
+    const std::string text = plan().dump();
+    const ReadResult<Wire::ServicePlan> read = readPlan(text);
+    BOOST_REQUIRE(read.has_value());
+    const Wire::ServicePlan &value = read.value();
+    BOOST_TEST(value.revision() == 7U);
+    BOOST_TEST(value.source() == text);
+    BOOST_TEST(value.services(0).engine_slots() == 64U);
+    BOOST_TEST(value.services(1).engine_slots() == 0U);
+    BOOST_TEST(value.organisations(0).keys_size() == 2);
+    const Wire::PlanRoute &first = value.routes(0);
+    BOOST_TEST(first.repeat() == Wire::REPEAT_RULE_STREAM);
+    BOOST_TEST(first.resumable());
+    BOOST_TEST(first.timeout_ms() == 12000U);
+    BOOST_TEST(first.objective_ms() == 3000U);
+    BOOST_TEST(first.pause_objective_ms() == 1500U);
+    BOOST_TEST(first.models_size() == 2);
+    BOOST_TEST(first.services(0).service() == "pool");
+    BOOST_TEST(first.max_attempts() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(eachFaultOfAPlanIsRefused)
+{
+    std::vector<std::pair<std::string, Json>> faulty;
+    Json broken = plan();
+    broken["routes"][0]["service"] = "nobody";
+    faulty.emplace_back("unknown service", broken);
+    broken = plan();
+    broken["routes"].push_back(route());
+    faulty.emplace_back("same host and prefix", broken);
+    broken = plan();
+    broken["routes"][0].erase("service");
+    broken["routes"][0]["traffic_split"] = Json::array({Json{{"service", "pool"}, {"weight", 0}}, Json{{"service", "yard"}, {"weight", 0}}});
+    faulty.emplace_back("weights add up to 0", broken);
+    broken = plan();
+    broken["routes"][0]["timeout_ms"] = 0;
+    faulty.emplace_back("time-out 0", broken);
+    broken = plan();
+    broken["tenants"].push_back(Json{{"name", "other"}, {"api_keys", {"key-2"}}});
+    faulty.emplace_back("shared key", broken);
+    broken = plan();
+    broken["routes"][0]["timeout_ms"] = "soon";
+    faulty.emplace_back("wrong type", broken);
+    broken = plan();
+    broken["routes"][0]["route_type"] = "perhaps";
+    faulty.emplace_back("unknown kind", broken);
+    for (const char *field : {"version", "routes", "services"}) {
+        broken = plan();
+        broken.erase(field);
+        faulty.emplace_back(std::string("no ") + field, broken);
+    }
+    for (const char *field : {"host", "path_prefix", "route_type", "timeout_ms", "service"}) {
+        broken = plan();
+        broken["routes"][0].erase(field);
+        faulty.emplace_back(std::string("route without ") + field, broken);
+    }
+    broken = plan();
+    broken["routes"] = 5;
+    faulty.emplace_back("routes no list", broken);
+    for (const auto &[what, document] : faulty) {
+        BOOST_TEST_CONTEXT(what)
+        {
+            BOOST_TEST(!readPlan(document.dump()).has_value());
+        }
+    }
+    const std::string text = plan().dump();
+    for (const std::size_t size : {std::size_t{0}, std::size_t{1}, text.size() / 2, text.size() - 1}) {
+        BOOST_TEST(!readPlan(text.substr(0, size)).has_value());
+    }
+    BOOST_TEST(!readPlan("\xff\x00\x17 no JSON").has_value());
+    BOOST_TEST(!readPlan("[]").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(heartbeatIsRead)
+{
+    const ReadResult<Wire::EndpointAnnouncement> read = readHeartbeat("i-1", heartbeat().dump());
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read.value().endpoint() == "i-1");
+    BOOST_TEST(read.value().address() == "10.0.0.9:8080");
+    BOOST_TEST(read.value().state() == Wire::ANNOUNCED_STATE_READY);
+    BOOST_TEST(read.value().sequence() == 4U);
+    BOOST_TEST(read.value().born_ms() == 17720);
+    Json leaving = heartbeat();
+    leaving["state"] = "draining";
+    BOOST_TEST(readHeartbeat("i-1", leaving.dump()).value().state() == Wire::ANNOUNCED_STATE_LEAVING);
+}
+
+BOOST_AUTO_TEST_CASE(heartbeatOfAnotherWriterNamesNoEndpoint)
+{
+    for (const char *field : {"service", "address", "zone", "version", "slots", "state", "sequence"}) {
+        Json broken = heartbeat();
+        broken.erase(field);
+        BOOST_TEST_CONTEXT(field)
+        {
+            BOOST_TEST(!readHeartbeat("i-1", broken.dump()).has_value());
+            broken[field] = Json::array({1, 2});
+            BOOST_TEST(!readHeartbeat("i-1", broken.dump()).has_value());
+        }
+    }
+    Json broken = heartbeat();
+    broken["state"] = "resting";
+    BOOST_TEST(!readHeartbeat("i-1", broken.dump()).has_value());
+    broken = heartbeat();
+    broken["address"] = "somewhere";
+    BOOST_TEST(!readHeartbeat("i-1", broken.dump()).has_value());
+    BOOST_TEST(!readHeartbeat("i-1", "{\"service\":").has_value());
+    BOOST_TEST(!readHeartbeat("i-1", "\x01\xfe").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(rolloutOrderIsRead)
+{
+    const auto read = readRolloutOrder(R"({"service":"pool","target":"v2","duration_s":12.5})");
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read.value().duration_ms() == 12500U);
+    BOOST_TEST(!readRolloutOrder(R"({"service":"pool","target":"v2"})").has_value());
+    BOOST_TEST(!readRolloutOrder(R"({"service":1,"target":"v2","duration_s":12})").has_value());
+    BOOST_TEST(!readRolloutOrder("{").has_value());
+    Wire::ServiceRollout rollout;
+    rollout.set_target("v2");
+    rollout.set_state(Wire::SERVICE_ROLLOUT_STATE_ROLLED_BACK);
+    BOOST_TEST(Json::parse(writeRollout(rollout)) == (Json{{"state", "rolled_back"}, {"target", "v2"}}));
+}
+
+BOOST_AUTO_TEST_CASE(callersRequestIsDecoded)
+{
+    const std::optional<ForwardRequest> request = frontDialect().decode(callersRequest());
+    BOOST_REQUIRE(request.has_value());
+    BOOST_TEST(request->id == "9c41");
+    BOOST_TEST(request->target == "/plans/2f?q=1");
+    BOOST_TEST(request->path == "/plans/2f");
+    BOOST_TEST(*request->patienceMs == 12000U);
+    BOOST_TEST(request->key == "secret");
+    BOOST_TEST(request->anyModel);
+    BOOST_TEST(request->promptTokens == 1460U);
+    BOOST_TEST(request->outputTokens == 80U);
+    BOOST_REQUIRE(request->prompt.size() == 3U);
+    BOOST_TEST(request->prompt[1].id == 0x91bd3f06U);
+    BOOST_TEST(request->prompt[1].tokens == 410U);
+    BOOST_TEST(request->session == "s-1");
+    BOOST_TEST(request->lastEventId == "12");
+}
+
+BOOST_AUTO_TEST_CASE(requestThatCanBeTakenInTwoWaysIsRefused)
+{
+    HttpRequest smuggled = callersRequest();
+    smuggled.headers["transfer-encoding"] = "chunked";
+    BOOST_TEST(!frontDialect().decode(smuggled).has_value());
+    HttpRequest anonymous = callersRequest();
+    anonymous.headers.erase("apricothead-request-id");
+    BOOST_TEST(!frontDialect().decode(anonymous).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(unreadableHintsOfARequestAreLeftOut)
+{
+    HttpRequest odd = callersRequest();
+    odd.headers["apricothead-prompt-prefix"] = "5c1e07a2:800,zz:1";
+    odd.headers["apricothead-token-usage"] = "many";
+    odd.headers["apricothead-deadline-ms"] = "soon";
+    const std::optional<ForwardRequest> request = frontDialect().decode(odd);
+    BOOST_REQUIRE(request.has_value());
+    BOOST_TEST(request->prompt.size() == 1U);
+    BOOST_TEST(request->promptTokens == 0U);
+    BOOST_TEST(!request->patienceMs.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(endpointGetsTheGatewaysFieldsAndNotTheCallersKey)
+{
+    const GatewayDialect dialect = frontDialect();
+    HttpRequest forged = callersRequest();
+    for (const char *field : {"apricothead-tenant",
+                              "apricothead-target-instance",
+                              "apricothead-hold",
+                              "apricothead-pin-ms",
+                              "apricothead-kv-backup",
+                              "kv-from",
+                              "kv-fetch",
+                              "apricothead-request-priority"}) {
+        forged.headers[field] = "forged";
+    }
+    const std::optional<ForwardRequest> request = dialect.decode(forged);
+    BOOST_REQUIRE(request.has_value());
+    const HttpHeaders headers = dialect.encode(*request, {.endpoint = "i-1", .organisation = "willow", .leftMs = 900, .priority = 2, .model = "small"});
+    BOOST_TEST(headers.at("apricothead-target-instance") == "i-1");
+    BOOST_TEST(headers.at("apricothead-tenant") == "willow");
+    BOOST_TEST(headers.at("apricothead-deadline-ms") == "900");
+    BOOST_TEST(headers.at("apricothead-request-priority") == "2");
+    BOOST_TEST(headers.at("apricothead-model") == "small");
+    BOOST_TEST(headers.at("apricothead-request-id") == "9c41");
+    BOOST_TEST(headers.at("host") == "host.example");
+    BOOST_TEST(headers.at("x-own") == "kept");
+    for (const char *field : {"authorization",
+                              "apricothead-hold",
+                              "apricothead-pin-ms",
+                              "apricothead-kv-backup",
+                              "kv-from",
+                              "kv-fetch",
+                              "last-event-id",
+                              "connection",
+                              "x-hop",
+                              "content-length"}) {
+        BOOST_TEST_CONTEXT(field)
+        {
+            BOOST_TEST(!headers.contains(field));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(onlyTwoAnswersOfAnEndpointSayNotRun)
+{
+    const GatewayDialect dialect = frontDialect();
+    BOOST_TEST(dialect.readHead(503, {{"apricothead-not-executed", "1"}}).isNotRun);
+    BOOST_TEST(dialect.readHead(421, {}).isNotRun);
+    for (const unsigned status : {400U, 429U, 500U, 502U, 503U, 504U}) {
+        BOOST_TEST(!dialect.readHead(status, {}).isNotRun);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(headOfAnAnswerIsRead)
+{
+    const EndpointAnswerHead head = frontDialect().readHead(200,
+                                                            {{"apricothead-request-id", "9c41"},
+                                                             {"apricothead-response-seal", "3e1b"},
+                                                             {"apricothead-confidence", "61"},
+                                                             {"connection", "close"},
+                                                             {"content-length", "4"},
+                                                             {"x-own", "kept"}});
+    BOOST_TEST(head.requestId == "9c41");
+    BOOST_TEST(head.isSigned);
+    BOOST_TEST(*head.confidence == 61);
+    BOOST_TEST(!head.isEncoded);
+    BOOST_TEST(head.headers.contains("apricothead-response-seal"));
+    BOOST_TEST(head.headers.contains("x-own"));
+    BOOST_TEST(!head.headers.contains("connection"));
+    BOOST_TEST(!head.headers.contains("content-length"));
+}
--- /dev/null
+++ b/test/scriptedendpoint.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+namespace Apricothead::Test {
+
+/** One connection of a ScriptedEndpoint, used by its script to answer as no well-behaved server would. */
+class ScriptedConnection
+{
+public:
+    explicit ScriptedConnection(int socket) : descriptor(socket)
+    { }
+
+    void send(const std::string &bytes) const
+    {
+        ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    /** Ends the connection in order. */
+    void close()
+    {
+        this->isOpen = false;
+    }
+
+    /** Ends the connection by a reset. */
+    void reset()
+    {
+        const linger now{.l_onoff = 1, .l_linger = 0};
+        setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+        this->isOpen = false;
+    }
+
+    bool isOpen = true;
+
+private:
+    int descriptor;
+};
+
+/** Accepts connections on a free port and runs a script for each request; notes every request that it read whole. */
+class ScriptedEndpoint
+{
+public:
+    using Script = std::function<void(ScriptedConnection &, const std::string &head)>;
+
+    explicit ScriptedEndpoint(Script onRequest) : script(std::move(onRequest)), listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(this->listener, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+        listen(this->listener, 16);
+        socklen_t size = sizeof(address);
+        getsockname(this->listener, reinterpret_cast<sockaddr *>(&address), &size);
+        this->port = ntohs(address.sin_port);
+        this->acceptor = std::thread([this] {
+            this->acceptAll();
+        });
+    }
+
+    ~ScriptedEndpoint()
+    {
+        this->isStopping = true;
+        shutdown(this->listener, SHUT_RDWR);
+        ::close(this->listener);
+        this->acceptor.join();
+        for (const int descriptor : this->open) {
+            shutdown(descriptor, SHUT_RDWR);
+        }
+        for (std::thread &thread : this->connections) {
+            thread.join();
+        }
+    }
+
+    ScriptedEndpoint(const ScriptedEndpoint &) = delete;
+    ScriptedEndpoint &operator=(const ScriptedEndpoint &) = delete;
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->port);
+    }
+
+    std::vector<std::string> requests() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->heads;
+    }
+
+    unsigned connectionCount() const
+    {
+        return this->accepted;
+    }
+
+private:
+    void acceptAll()
+    {
+        while (!this->isStopping) {
+            const int descriptor = accept(this->listener, nullptr, nullptr);
+            if (descriptor < 0) {
+                return;
+            }
+            ++this->accepted;
+            const std::lock_guard lock(this->mutex);
+            this->open.push_back(descriptor);
+            this->connections.emplace_back([this, descriptor] {
+                this->serve(descriptor);
+            });
+        }
+    }
+
+    void serve(int descriptor)
+    {
+        ScriptedConnection connection(descriptor);
+        std::string pending;
+        while (connection.isOpen && !this->isStopping) {
+            const std::size_t end = pending.find("\r\n\r\n");
+            if (end != std::string::npos) {
+                const std::string head = pending.substr(0, end + 2);
+                pending.erase(0, end + 4);
+                {
+                    const std::lock_guard lock(this->mutex);
+                    this->heads.push_back(head);
+                }
+                this->script(connection, head);
+                continue;
+            }
+            char buffer[8192];
+            const ssize_t got = recv(descriptor, buffer, sizeof(buffer), 0);
+            if (got <= 0) {
+                break;
+            }
+            pending.append(buffer, static_cast<std::size_t>(got));
+        }
+        ::close(descriptor);
+    }
+
+    Script script;
+    int listener;
+    unsigned port = 0;
+    std::atomic<bool> isStopping{false};
+    std::atomic<unsigned> accepted{0};
+    mutable std::mutex mutex;
+    std::vector<std::string> heads;
+    std::vector<int> open;
+    std::vector<std::thread> connections;
+    std::thread acceptor;
+};
+
+/** \returns the value of \a name in the head of a request, empty when it has none */
+inline std::string headerOf(const std::string &head, const std::string &name)
+{
+    const std::string start = "\r\n" + name + ": ";
+    const std::size_t found = head.find(start);
+    if (found == std::string::npos) {
+        return {};
+    }
+    const std::size_t from = found + start.size();
+    return head.substr(from, head.find("\r\n", from) - from);
+}
+
+} // namespace Apricothead::Test
