A stop ends connections with their streams and refuses what comes late

Change: HttpServer closes a connection when its answer is complete and closeAfterAnswers() was called; 2.7 s after SIGTERM the gateway refuses (not run) and stops listening. Tests: transport streamThatBeganBeforeTheStopEndsItsConnection, shown failing without the change; idleConnectionsAreClosedAndOthersAreNot.

--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -23,8 +23,8 @@
 
 /** Confirmations come several times a second, so a lease that is this much short of the bound on revocation is lost, not late. */
 constexpr std::uint64_t LeaseMarginMs = 800;
-/** The platform asks once a second whether the gateway is ready, and takes two misses. */
-constexpr std::uint64_t NoticeMs = 3200;
+/** The platform asks once a second whether the gateway is ready, and takes two misses; what comes later is refused, and listening ends. */
+constexpr std::uint64_t NoticeMs = 2700;
 constexpr milliseconds StopCheckInterval{50};
 /** New connections bring their request within this time. */
 constexpr milliseconds KeptIdle{300};
@@ -175,6 +175,11 @@
         this->refuse(reply, {}, StatusBadRequest, "unreadable");
         return;
     }
+    const bool isLate = this->stoppingSinceMs != 0 && this->context.loop.nowMs() - this->stoppingSinceMs > NoticeMs;
+    if (isLate) {
+        this->refuse(reply, request->id, StatusUnavailable, "stopping");
+        return;
+    }
     this->context.endpoints.setGateways(this->context.view->gateways());
     this->context.retries.setGateways(this->context.view->gateways());
     const std::shared_ptr<const PlanIndex> plan = this->context.view->plan();
--- a/Apricothead/src/Transport/HttpServer.cpp
+++ b/Apricothead/src/Transport/HttpServer.cpp
@@ -267,10 +267,23 @@
         }
         const std::shared_ptr<detail::HttpExchange> exchange = found->second;
         this->readingSince[exchange->nativeConnection()] = this->loop.nowMs();
+        if (this->closesAfterAnswers) {
+            // An answer that began earlier did not say that the connection ends with it.
+            Private::shutDown(exchange->nativeConnection());
+        }
         this->exchanges.erase(found);
         exchange->completed(whole);
     }
 
+    /** libmicrohttpd closes a connection when it sees its end. */
+    static void shutDown(MHD_Connection *connection)
+    {
+        const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        if (info != nullptr) {
+            shutdown(info->connect_fd, SHUT_RDWR);
+        }
+    }
+
     /** A sender of single bytes is never idle: it gets a bound on the whole request. */
     void closeSlowSenders()
     {
@@ -280,10 +293,7 @@
             if (now - since <= static_cast<std::uint64_t>(bound.count())) {
                 continue;
             }
-            const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-            if (info != nullptr) {
-                shutdown(info->connect_fd, SHUT_RDWR);
-            }
+            Private::shutDown(connection);
         }
     }
 
@@ -298,10 +308,7 @@
             if (busy.contains(connection) || now - since < idleMs) {
                 continue;
             }
-            const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-            if (info != nullptr) {
-                shutdown(info->connect_fd, SHUT_RDWR);
-            }
+            Private::shutDown(connection);
         }
     }
 
--- a/test/transport.cpp
+++ b/test/transport.cpp
@@ -442,6 +442,59 @@
     BOOST_TEST(open.body == "whole");
 }
 
+BOOST_FIXTURE_TEST_CASE(streamThatBeganBeforeTheStopEndsItsConnection, Fixture)
+{
+    std::shared_ptr<HttpReply> pending;
+    auto server = this->serve([&](const HttpRequest &, std::shared_ptr<HttpReply> reply) {
+        pending = std::move(reply);
+        pending->startStream(200, {});
+        pending->write("first");
+    });
+    RawConnection caller(server->boundAddress());
+    caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_REQUIRE(runUntil(this->loop, [&] {
+        caller.receive();
+        return caller.received.find("first") != std::string::npos;
+    }));
+    // Its head is out without a word on closing.
+    server->closeAfterAnswers();
+    pending->finish();
+    // At once, rather than after the bound on idle time.
+    constexpr milliseconds AtOnce{300};
+    BOOST_TEST(Test::runUntil(
+        this->loop,
+        [&] {
+            caller.receive();
+            return caller.isClosed;
+        },
+        AtOnce));
+    BOOST_TEST(caller.received.find("0\r\n\r\n") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(idleConnectionsAreClosedAndOthersAreNot, Fixture)
+{
+    std::shared_ptr<HttpReply> pending;
+    auto server = this->serve([&](const HttpRequest &, std::shared_ptr<HttpReply> reply) {
+        pending = std::move(reply);
+    });
+    RawConnection idle(server->boundAddress());
+    RawConnection busy(server->boundAddress());
+    busy.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_REQUIRE(runUntil(this->loop, [&] {
+        return pending != nullptr && server->openConnections() == 2;
+    }));
+    server->closeIdle(milliseconds(0));
+    BOOST_TEST(runUntil(this->loop, [&] {
+        idle.receive();
+        return idle.isClosed;
+    }));
+    pending->send(200, {}, "whole");
+    BOOST_TEST(runUntil(this->loop, [&] {
+        busy.receive();
+        return busy.received.find("whole") != std::string::npos;
+    }));
+}
+
 BOOST_FIXTURE_TEST_CASE(clientEndsASilentCall, Fixture)
 {
     std::shared_ptr<HttpReply> pending;
