--- a/Apricothead/src/Coordination/ChatEngine.cpp
+++ b/Apricothead/src/Coordination/Endpoint/ChatEngine.cpp
@@ -1,9 +1,9 @@
 #include "EngineCalls.h"
 
-#include "../Protocol/ChatAnswer.h"
-#include "../Protocol/EventStream.h"
-#include "../Transport/EventLoop.h"
-#include "../Transport/Timer.h"
+#include "../../Protocol/ChatAnswer.h"
+#include "../../Protocol/EventStream.h"
+#include "../../Transport/EventLoop.h"
+#include "../../Transport/Timer.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Apricothead/src/Coordination/EndpointGate.h
+++ b/Apricothead/src/Coordination/Endpoint/EndpointGate.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "../Protocol/RunId.h"
-#include "../Protocol/Settings.h"
-#include "../Protocol/Verdict.h"
+#include "../../Protocol/RunId.h"
+#include "../../Protocol/Settings.h"
+#include "../../Protocol/Verdict.h"
 
 #include <cstdint>
 #include <deque>
--- a/Apricothead/src/Coordination/EndpointTask.cpp
+++ b/Apricothead/src/Coordination/Endpoint/EndpointTask.cpp
@@ -1,19 +1,19 @@
 #include "EndpointTask.h"
 
+#include "../Shared/ProposalQueue.h"
+#include "../Shared/ReplicaClient.h"
 #include "EndpointGate.h"
 #include "EngineMonitor.h"
 #include "OrderQueue.h"
-#include "ProposalQueue.h"
-#include "ReplicaClient.h"
 #include "RunBuffer.h"
 
-#include "../Protocol/WireVerdict.h"
-#include "../Transport/EventLoop.h"
-#include "../Transport/HttpClient.h"
-#include "../Transport/Log.h"
-#include "../Transport/Router.h"
-#include "../Transport/Timer.h"
-#include "../Transport/WallClock.h"
+#include "../../Protocol/WireVerdict.h"
+#include "../../Transport/EventLoop.h"
+#include "../../Transport/HttpClient.h"
+#include "../../Transport/Log.h"
+#include "../../Transport/Router.h"
+#include "../../Transport/Timer.h"
+#include "../../Transport/WallClock.h"
 
 #include <xxhash.h>
 
--- a/Apricothead/src/Coordination/EndpointTask.h
+++ b/Apricothead/src/Coordination/Endpoint/EndpointTask.h
@@ -2,7 +2,7 @@
 
 #include "EngineAdapter.h"
 
-#include "../Protocol/Settings.h"
+#include "../../Protocol/Settings.h"
 
 #include <functional>
 #include <memory>
--- a/Apricothead/src/Coordination/EngineAdapter.h
+++ b/Apricothead/src/Coordination/Endpoint/EngineAdapter.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../Protocol/Messages.h"
-#include "../Protocol/Settings.h"
+#include "../../Protocol/Messages.h"
+#include "../../Protocol/Settings.h"
 
 #include <cstdint>
 #include <functional>
--- a/Apricothead/src/Coordination/EngineCalls.h
+++ b/Apricothead/src/Coordination/Endpoint/EngineCalls.h
@@ -2,7 +2,7 @@
 
 #include "EngineAdapter.h"
 
-#include "../Transport/HttpClient.h"
+#include "../../Transport/HttpClient.h"
 
 #include <functional>
 #include <memory>
--- a/Apricothead/src/Coordination/EngineMonitor.cpp
+++ b/Apricothead/src/Coordination/Endpoint/EngineMonitor.cpp
@@ -1,6 +1,6 @@
 #include "EngineMonitor.h"
 
-#include "../Transport/Log.h"
+#include "../../Transport/Log.h"
 
 #include <utility>
 
--- a/Apricothead/src/Coordination/EngineMonitor.h
+++ b/Apricothead/src/Coordination/Endpoint/EngineMonitor.h
@@ -2,8 +2,8 @@
 
 #include "EngineAdapter.h"
 
-#include "../Transport/EventLoop.h"
-#include "../Transport/Timer.h"
+#include "../../Transport/EventLoop.h"
+#include "../../Transport/Timer.h"
 
 #include <chrono>
 #include <functional>
--- a/Apricothead/src/Coordination/OrderQueue.cpp
+++ b/Apricothead/src/Coordination/Endpoint/OrderQueue.cpp
@@ -1,6 +1,6 @@
 #include "OrderQueue.h"
 
-#include "../Transport/Log.h"
+#include "../../Transport/Log.h"
 
 #include <utility>
 
--- a/Apricothead/src/Coordination/OrderQueue.h
+++ b/Apricothead/src/Coordination/Endpoint/OrderQueue.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "../Shared/ProposalQueue.h"
 #include "EngineAdapter.h"
 #include "FenceGuard.h"
-#include "ProposalQueue.h"
 
 #include <deque>
 #include <functional>
--- a/Apricothead/src/Coordination/RunBuffer.h
+++ b/Apricothead/src/Coordination/Endpoint/RunBuffer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../Protocol/RunId.h"
+#include "../../Protocol/RunId.h"
 
 #include <chrono>
 #include <cstdint>
--- a/Apricothead/src/Coordination/AdmissionControl.cpp
+++ b/Apricothead/src/Coordination/Entry/AdmissionControl.cpp
@@ -1,6 +1,6 @@
 #include "AdmissionControl.h"
 
-#include "../Transport/Log.h"
+#include "../../Transport/Log.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Apricothead/src/Coordination/AdmissionControl.h
+++ b/Apricothead/src/Coordination/Entry/AdmissionControl.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "AdmissionQueue.h"
+#include "../../Decisions/AdmissionQueue.h"
+#include "../../Decisions/DispatchWindow.h"
+#include "../../Decisions/RoutingTable.h"
+#include "../../Decisions/SharedLimiter.h"
 #include "CallerRequest.h"
-#include "DispatchWindow.h"
-#include "RoutingTable.h"
-#include "SharedLimiter.h"
 
-#include "../Protocol/CallerError.h"
+#include "../../Protocol/CallerError.h"
 
 #include <chrono>
 #include <cstdint>
--- a/Apricothead/src/Coordination/Authentication.cpp
+++ b/Apricothead/src/Coordination/Entry/Authentication.cpp
@@ -1,6 +1,6 @@
 #include "Authentication.h"
 
-#include "../Protocol/KeyHash.h"
+#include "../../Protocol/KeyHash.h"
 
 namespace Apricothead {
 
--- a/Apricothead/src/Coordination/CallerAnswer.cpp
+++ b/Apricothead/src/Coordination/Entry/CallerAnswer.cpp
@@ -1,7 +1,7 @@
 #include "CallerAnswer.h"
 
-#include "../Protocol/ChatAssembler.h"
-#include "../Protocol/ServerSentEvents.h"
+#include "../../Protocol/ChatAssembler.h"
+#include "../../Protocol/ServerSentEvents.h"
 
 #include <utility>
 
--- a/Apricothead/src/Coordination/CallerAnswer.h
+++ b/Apricothead/src/Coordination/Entry/CallerAnswer.h
@@ -2,8 +2,8 @@
 
 #include "CallerRequest.h"
 
-#include "../Protocol/CallerError.h"
-#include "../Transport/HttpServer.h"
+#include "../../Protocol/CallerError.h"
+#include "../../Transport/HttpServer.h"
 
 #include <functional>
 #include <memory>
--- a/Apricothead/src/Coordination/CallerApi.cpp
+++ b/Apricothead/src/Coordination/Entry/CallerApi.cpp
@@ -4,7 +4,7 @@
 #include "ModelList.h"
 #include "RunErrors.h"
 
-#include "../Protocol/KeyHash.h"
+#include "../../Protocol/KeyHash.h"
 
 #include <string_view>
 #include <utility>
--- a/Apricothead/src/Coordination/CallerApi.h
+++ b/Apricothead/src/Coordination/Entry/CallerApi.h
@@ -3,8 +3,8 @@
 #include "CallerAnswer.h"
 #include "CallerRequest.h"
 
-#include "../Protocol/Messages.h"
-#include "../Transport/HttpServer.h"
+#include "../../Protocol/Messages.h"
+#include "../../Transport/HttpServer.h"
 
 #include <functional>
 #include <memory>
--- a/Apricothead/src/Coordination/CallerRequest.cpp
+++ b/Apricothead/src/Coordination/Entry/CallerRequest.cpp
@@ -2,8 +2,8 @@
 
 #include "ModelList.h"
 
-#include "../Protocol/ChatRequest.h"
-#include "../Protocol/KeyHash.h"
+#include "../../Protocol/ChatRequest.h"
+#include "../../Protocol/KeyHash.h"
 
 #include <xxhash.h>
 
--- a/Apricothead/src/Coordination/CallerRequest.h
+++ b/Apricothead/src/Coordination/Entry/CallerRequest.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "../Protocol/CallerError.h"
-#include "../Protocol/Messages.h"
-#include "../Transport/HttpServer.h"
+#include "../../Protocol/CallerError.h"
+#include "../../Protocol/Messages.h"
+#include "../../Transport/HttpServer.h"
 
 #include <boost/outcome.hpp>
 
--- a/Apricothead/src/Coordination/CascadePlan.cpp
+++ b/Apricothead/src/Coordination/Entry/CascadePlan.cpp
@@ -1,6 +1,6 @@
 #include "CascadePlan.h"
 
-#include "../State/ConfigurationLookup.h"
+#include "../../State/ConfigurationLookup.h"
 
 #include <charconv>
 
--- a/Apricothead/src/Coordination/CascadePlan.h
+++ b/Apricothead/src/Coordination/Entry/CascadePlan.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "../../Decisions/Cascade.h"
 #include "CallerRequest.h"
-#include "Cascade.h"
 
 #include <functional>
 #include <string>
--- a/Apricothead/src/Coordination/EndpointLinks.cpp
+++ b/Apricothead/src/Coordination/Entry/EndpointLinks.cpp
@@ -1,8 +1,8 @@
 #include "EndpointLinks.h"
 
-#include "../Transport/Dealer.h"
-#include "../Transport/EventLoop.h"
-#include "../Transport/Log.h"
+#include "../../Transport/Dealer.h"
+#include "../../Transport/EventLoop.h"
+#include "../../Transport/Log.h"
 
 #include <limits>
 #include <map>
--- a/Apricothead/src/Coordination/EndpointPool.cpp
+++ b/Apricothead/src/Coordination/Entry/EndpointPool.cpp
@@ -1,8 +1,8 @@
 #include "EndpointPool.h"
 
-#include "../State/ConfigurationLookup.h"
-#include "../Transport/EventLoop.h"
-#include "../Transport/Log.h"
+#include "../../State/ConfigurationLookup.h"
+#include "../../Transport/EventLoop.h"
+#include "../../Transport/Log.h"
 
 #include <algorithm>
 #include <random>
--- a/Apricothead/src/Coordination/EndpointPool.h
+++ b/Apricothead/src/Coordination/Entry/EndpointPool.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "../../Decisions/EndpointTracker.h"
+#include "../../Decisions/PrefixIndex.h"
 #include "EndpointLinks.h"
-#include "EndpointTracker.h"
-#include "PrefixIndex.h"
 
 #include <map>
 #include <string>
--- a/Apricothead/src/Coordination/EntryContext.h
+++ b/Apricothead/src/Coordination/Entry/EntryContext.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "Cascade.h"
+#include "../../Decisions/Cascade.h"
+#include "../../Decisions/RetryBudget.h"
+#include "../Shared/Metrics.h"
+#include "../Shared/ReplicaClient.h"
 #include "EndpointPool.h"
-#include "Metrics.h"
-#include "ReplicaClient.h"
-#include "RetryBudget.h"
 #include "RolloutDriver.h"
 #include "SessionCache.h"
 
-#include "../Protocol/Settings.h"
+#include "../../Protocol/Settings.h"
 
 #include <chrono>
 #include <functional>
--- a/Apricothead/src/Coordination/EntryTask.cpp
+++ b/Apricothead/src/Coordination/Entry/EntryTask.cpp
@@ -1,23 +1,23 @@
 #include "EntryTask.h"
 
+#include "../Operator/OperatorService.h"
 #include "AdmissionControl.h"
 #include "CallerApi.h"
 #include "EntryContext.h"
-#include "OperatorService.h"
 #include "Rater.h"
 #include "RequestRun.h"
 #include "RunErrors.h"
 #include "RunRegistry.h"
 
-#include "../Protocol/CallerError.h"
-#include "../Protocol/KeyHash.h"
-#include "../State/ConfigurationLookup.h"
-#include "../Transport/EventLoop.h"
-#include "../Transport/HttpClient.h"
-#include "../Transport/HttpServer.h"
-#include "../Transport/Log.h"
-#include "../Transport/Timer.h"
-#include "../Transport/WallClock.h"
+#include "../../Protocol/CallerError.h"
+#include "../../Protocol/KeyHash.h"
+#include "../../State/ConfigurationLookup.h"
+#include "../../Transport/EventLoop.h"
+#include "../../Transport/HttpClient.h"
+#include "../../Transport/HttpServer.h"
+#include "../../Transport/Log.h"
+#include "../../Transport/Timer.h"
+#include "../../Transport/WallClock.h"
 
 #include <map>
 #include <random>
--- a/Apricothead/src/Coordination/EntryTask.h
+++ b/Apricothead/src/Coordination/Entry/EntryTask.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../Protocol/Settings.h"
+#include "../../Protocol/Settings.h"
 
 #include <cstddef>
 #include <functional>
--- a/Apricothead/src/Coordination/ModelList.cpp
+++ b/Apricothead/src/Coordination/Entry/ModelList.cpp
@@ -1,6 +1,6 @@
 #include "ModelList.h"
 
-#include "../State/ConfigurationLookup.h"
+#include "../../State/ConfigurationLookup.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Apricothead/src/Coordination/Rater.cpp
+++ b/Apricothead/src/Coordination/Entry/Rater.cpp
@@ -1,6 +1,6 @@
 #include "Rater.h"
 
-#include "../Transport/HttpClient.h"
+#include "../../Transport/HttpClient.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Apricothead/src/Coordination/RequestRun.cpp
+++ b/Apricothead/src/Coordination/Entry/RequestRun.cpp
@@ -4,11 +4,11 @@
 #include "RunErrors.h"
 #include "RunRegistry.h"
 
-#include "../Protocol/ChatAssembler.h"
-#include "../State/ConfigurationLookup.h"
-#include "../State/Ledger.h"
-#include "../Transport/EventLoop.h"
-#include "../Transport/Log.h"
+#include "../../Protocol/ChatAssembler.h"
+#include "../../State/ConfigurationLookup.h"
+#include "../../State/Ledger.h"
+#include "../../Transport/EventLoop.h"
+#include "../../Transport/Log.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Apricothead/src/Coordination/RequestRun.h
+++ b/Apricothead/src/Coordination/Entry/RequestRun.h
@@ -4,9 +4,9 @@
 #include "EntryContext.h"
 #include "StepRun.h"
 
-#include "../Protocol/ChatAssembler.h"
+#include "../../Protocol/ChatAssembler.h"
 
-#include "../Transport/Timer.h"
+#include "../../Transport/Timer.h"
 
 #include <memory>
 #include <string>
--- a/Apricothead/src/Coordination/RolloutDriver.cpp
+++ b/Apricothead/src/Coordination/Entry/RolloutDriver.cpp
@@ -1,6 +1,6 @@
 #include "RolloutDriver.h"
 
-#include "../Transport/Log.h"
+#include "../../Transport/Log.h"
 
 #include <algorithm>
 #include <utility>
--- a/Apricothead/src/Coordination/RolloutDriver.h
+++ b/Apricothead/src/Coordination/Entry/RolloutDriver.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "EvidenceBook.h"
-#include "ReplicaClient.h"
-#include "RolloutController.h"
+#include "../../Decisions/EvidenceBook.h"
+#include "../../Decisions/RolloutController.h"
+#include "../Shared/ReplicaClient.h"
 
 #include <cstdint>
 #include <functional>
--- a/Apricothead/src/Coordination/RunErrors.cpp
+++ b/Apricothead/src/Coordination/Entry/RunErrors.cpp
@@ -1,6 +1,6 @@
 #include "RunErrors.h"
 
-#include "../Protocol/WireVerdict.h"
+#include "../../Protocol/WireVerdict.h"
 
 namespace Apricothead {
 namespace {
--- a/Apricothead/src/Coordination/RunErrors.h
+++ b/Apricothead/src/Coordination/Entry/RunErrors.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../Protocol/CallerError.h"
-#include "../Protocol/Messages.h"
+#include "../../Protocol/CallerError.h"
+#include "../../Protocol/Messages.h"
 
 #include <string>
 
--- a/Apricothead/src/Coordination/StepRun.cpp
+++ b/Apricothead/src/Coordination/Entry/StepRun.cpp
@@ -1,12 +1,12 @@
 #include "StepRun.h"
 
+#include "../../Decisions/VersionChoice.h"
 #include "RunErrors.h"
 #include "RunRegistry.h"
-#include "VersionChoice.h"
 
-#include "../Protocol/WireVerdict.h"
-#include "../Transport/EventLoop.h"
-#include "../Transport/Log.h"
+#include "../../Protocol/WireVerdict.h"
+#include "../../Transport/EventLoop.h"
+#include "../../Transport/Log.h"
 
 #include <xxhash.h>
 
--- a/Apricothead/src/Coordination/StepRun.h
+++ b/Apricothead/src/Coordination/Entry/StepRun.h
@@ -3,7 +3,7 @@
 #include "CallerRequest.h"
 #include "EntryContext.h"
 
-#include "../Transport/Timer.h"
+#include "../../Transport/Timer.h"
 
 #include <functional>
 #include <memory>
--- a/Apricothead/src/Coordination/ConnectCodec.cpp
+++ b/Apricothead/src/Coordination/Operator/ConnectCodec.cpp
@@ -1,6 +1,6 @@
 #include "ConnectCodec.h"
 
-#include "../State/StateErrors.h"
+#include "../../State/StateErrors.h"
 
 #include <google/protobuf/util/json_util.h>
 #include <nlohmann/json.hpp>
--- a/Apricothead/src/Coordination/OperatorAccess.cpp
+++ b/Apricothead/src/Coordination/Operator/OperatorAccess.cpp
@@ -1,6 +1,6 @@
 #include "OperatorAccess.h"
 
-#include "../Protocol/KeyHash.h"
+#include "../../Protocol/KeyHash.h"
 
 namespace Apricothead {
 
--- a/Apricothead/src/Coordination/OperatorBackend.cpp
+++ b/Apricothead/src/Coordination/Operator/OperatorBackend.cpp
@@ -1,5 +1,5 @@
 #include "OperatorBackend.h"
-#include "../Transport/WallClock.h"
+#include "../../Transport/WallClock.h"
 
 #include <chrono>
 #include <utility>
--- a/Apricothead/src/Coordination/OperatorBackend.h
+++ b/Apricothead/src/Coordination/Operator/OperatorBackend.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../Protocol/Messages.h"
-#include "ReplicaClient.h"
+#include "../../Protocol/Messages.h"
+#include "../Shared/ReplicaClient.h"
 
 #include <functional>
 #include <string>
--- a/Apricothead/src/Coordination/OperatorCall.cpp
+++ b/Apricothead/src/Coordination/Operator/OperatorCall.cpp
@@ -1,8 +1,8 @@
 #include "OperatorCall.h"
 
-#include "../Protocol/KeyHash.h"
-#include "../Protocol/Messages.h"
-#include "../Transport/EventLoop.h"
+#include "../../Protocol/KeyHash.h"
+#include "../../Protocol/Messages.h"
+#include "../../Transport/EventLoop.h"
 
 #include "apricothead/v1/operator.pb.h"
 
--- a/Apricothead/src/Coordination/OperatorCall.h
+++ b/Apricothead/src/Coordination/Operator/OperatorCall.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../Transport/HttpClient.h"
-#include "../Transport/Timer.h"
+#include "../../Transport/HttpClient.h"
+#include "../../Transport/Timer.h"
 
 #include <chrono>
 #include <functional>
--- a/Apricothead/src/Coordination/OperatorChangeCall.cpp
+++ b/Apricothead/src/Coordination/Operator/OperatorChangeCall.cpp
@@ -1,7 +1,7 @@
 #include "OperatorChangeCall.h"
 
-#include "../State/KeyCode.h"
-#include "../Transport/Log.h"
+#include "../../State/KeyCode.h"
+#include "../../Transport/Log.h"
 
 #include <xxhash.h>
 
--- a/Apricothead/src/Coordination/OperatorChanges.cpp
+++ b/Apricothead/src/Coordination/Operator/OperatorChanges.cpp
@@ -1,6 +1,6 @@
 #include "OperatorChanges.h"
 
-#include "../State/ConfigurationLookup.h"
+#include "../../State/ConfigurationLookup.h"
 
 #include <algorithm>
 #include <utility>
--- a/Apricothead/src/Coordination/OperatorChanges.h
+++ b/Apricothead/src/Coordination/Operator/OperatorChanges.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../State/StateErrors.h"
+#include "../../State/StateErrors.h"
 
 #include "apricothead/v1/operator.pb.h"
 
--- a/Apricothead/src/Coordination/OperatorMethods.cpp
+++ b/Apricothead/src/Coordination/Operator/OperatorMethods.cpp
@@ -1,8 +1,8 @@
 #include "OperatorMethods.h"
 
-#include "../Protocol/KeyHash.h"
-#include "../State/ConfigurationLookup.h"
-#include "../State/Ledger.h"
+#include "../../Protocol/KeyHash.h"
+#include "../../State/ConfigurationLookup.h"
+#include "../../State/Ledger.h"
 #include "OperatorChangeCall.h"
 #include "Report.h"
 
--- a/Apricothead/src/Coordination/OperatorService.cpp
+++ b/Apricothead/src/Coordination/Operator/OperatorService.cpp
@@ -4,7 +4,7 @@
 #include "OperatorAccess.h"
 #include "OperatorMethods.h"
 
-#include "../Protocol/MessageLog.h"
+#include "../../Protocol/MessageLog.h"
 
 #include <utility>
 
--- a/Apricothead/src/Coordination/OperatorService.h
+++ b/Apricothead/src/Coordination/Operator/OperatorService.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../Protocol/Settings.h"
-#include "../Transport/HttpServer.h"
+#include "../../Protocol/Settings.h"
+#include "../../Transport/HttpServer.h"
 #include "OperatorBackend.h"
 
 #include <memory>
--- a/Apricothead/src/Coordination/Report.cpp
+++ b/Apricothead/src/Coordination/Operator/Report.cpp
@@ -1,6 +1,6 @@
 #include "Report.h"
 
-#include "../State/ConfigurationLookup.h"
+#include "../../State/ConfigurationLookup.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/Apricothead/src/Coordination/ClusterReport.h
+++ b/Apricothead/src/Coordination/Replica/ClusterReport.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../State/Raft.h"
-#include "../State/StateMachine.h"
+#include "../../State/Raft.h"
+#include "../../State/StateMachine.h"
 #include "Directory.h"
 
 #include <cstdint>
--- a/Apricothead/src/Coordination/Directory.h
+++ b/Apricothead/src/Coordination/Replica/Directory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../Protocol/Messages.h"
+#include "../../Protocol/Messages.h"
 
 #include <cstdint>
 #include <map>
--- a/Apricothead/src/Coordination/GroupSetup.cpp
+++ b/Apricothead/src/Coordination/Replica/GroupSetup.cpp
@@ -1,7 +1,7 @@
 #include "GroupSetup.h"
 
-#include "../State/RaftLog.h"
-#include "../State/StateMachine.h"
+#include "../../State/RaftLog.h"
+#include "../../State/StateMachine.h"
 
 #include <algorithm>
 
--- a/Apricothead/src/Coordination/GroupSetup.h
+++ b/Apricothead/src/Coordination/Replica/GroupSetup.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../Protocol/Settings.h"
-#include "../State/LogStore.h"
+#include "../../Protocol/Settings.h"
+#include "../../State/LogStore.h"
 
 #include <string>
 
--- a/Apricothead/src/Coordination/MemberChange.h
+++ b/Apricothead/src/Coordination/Replica/MemberChange.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../Protocol/Messages.h"
-#include "../State/Raft.h"
+#include "../../Protocol/Messages.h"
+#include "../../State/Raft.h"
 
 #include <optional>
 #include <string>
--- a/Apricothead/src/Coordination/ReplicaLinks.cpp
+++ b/Apricothead/src/Coordination/Replica/ReplicaLinks.cpp
@@ -1,7 +1,7 @@
 #include "ReplicaLinks.h"
 
-#include "../Transport/EventLoop.h"
-#include "../Transport/Log.h"
+#include "../../Transport/EventLoop.h"
+#include "../../Transport/Log.h"
 
 namespace Apricothead {
 
--- a/Apricothead/src/Coordination/ReplicaLinks.h
+++ b/Apricothead/src/Coordination/Replica/ReplicaLinks.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "../Protocol/Messages.h"
-#include "../Protocol/Settings.h"
-#include "../Transport/Dealer.h"
-#include "../Transport/Router.h"
+#include "../../Protocol/Messages.h"
+#include "../../Protocol/Settings.h"
+#include "../../Transport/Dealer.h"
+#include "../../Transport/Router.h"
 
 #include <functional>
 #include <map>
--- a/Apricothead/src/Coordination/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
@@ -11,12 +11,12 @@
 #include "ServiceRolloutDriver.h"
 #include "ServingFeed.h"
 
-#include "../State/Raft.h"
-#include "../State/StateMachine.h"
-#include "../Transport/EventLoop.h"
-#include "../Transport/Log.h"
-#include "../Transport/Timer.h"
-#include "../Transport/WallClock.h"
+#include "../../State/Raft.h"
+#include "../../State/StateMachine.h"
+#include "../../Transport/EventLoop.h"
+#include "../../Transport/Log.h"
+#include "../../Transport/Timer.h"
+#include "../../Transport/WallClock.h"
 
 #include <algorithm>
 #include <chrono>
--- a/Apricothead/src/Coordination/ReplicaTask.h
+++ b/Apricothead/src/Coordination/Replica/ReplicaTask.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "../Protocol/Messages.h"
-#include "../Protocol/Settings.h"
-#include "../State/LogStore.h"
+#include "../../Protocol/Messages.h"
+#include "../../Protocol/Settings.h"
+#include "../../State/LogStore.h"
 
 #include <cstdint>
 #include <functional>
--- a/Apricothead/src/Coordination/ServiceRolloutDriver.cpp
+++ b/Apricothead/src/Coordination/Replica/ServiceRolloutDriver.cpp
@@ -1,6 +1,6 @@
 #include "ServiceRolloutDriver.h"
 
-#include "../Transport/WallClock.h"
+#include "../../Transport/WallClock.h"
 
 #include <algorithm>
 
--- a/Apricothead/src/Coordination/ServiceRolloutDriver.h
+++ b/Apricothead/src/Coordination/Replica/ServiceRolloutDriver.h
@@ -2,7 +2,7 @@
 
 #include "ServingFeed.h"
 
-#include "../Decisions/ServiceRolloutJudge.h"
+#include "../../Decisions/ServiceRolloutJudge.h"
 
 #include <cstdint>
 #include <map>
--- a/Apricothead/src/Coordination/ServingFeed.cpp
+++ b/Apricothead/src/Coordination/Replica/ServingFeed.cpp
@@ -1,6 +1,6 @@
 #include "ServingFeed.h"
 
-#include "../Transport/Log.h"
+#include "../../Transport/Log.h"
 
 #include <utility>
 
--- a/Apricothead/src/Coordination/ServingFeed.h
+++ b/Apricothead/src/Coordination/Replica/ServingFeed.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "AnnouncementBook.h"
+#include "../Shared/AnnouncementBook.h"
 
-#include "../Protocol/Messages.h"
-#include "../Transport/Router.h"
+#include "../../Protocol/Messages.h"
+#include "../../Transport/Router.h"
 
 #include <cstdint>
 #include <functional>
--- a/Apricothead/src/Coordination/ProposalQueue.h
+++ b/Apricothead/src/Coordination/Shared/ProposalQueue.h
@@ -2,7 +2,7 @@
 
 #include "ReplicaClient.h"
 
-#include "../Transport/Timer.h"
+#include "../../Transport/Timer.h"
 
 #include <chrono>
 #include <deque>
--- a/Apricothead/src/Coordination/ReplicaClient.cpp
+++ b/Apricothead/src/Coordination/Shared/ReplicaClient.cpp
@@ -1,9 +1,9 @@
 #include "ReplicaClient.h"
 
-#include "../Transport/Dealer.h"
-#include "../Transport/EventLoop.h"
-#include "../Transport/Log.h"
-#include "../Transport/Timer.h"
+#include "../../Transport/Dealer.h"
+#include "../../Transport/EventLoop.h"
+#include "../../Transport/Log.h"
+#include "../../Transport/Timer.h"
 
 #include <google/protobuf/util/message_differencer.h>
 
--- a/Apricothead/src/Coordination/AdmissionQueue.h
+++ b/Apricothead/src/Decisions/AdmissionQueue.h
@@ -12,7 +12,7 @@
 namespace Apricothead {
 
 /** \class AdmissionQueueOptions
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Bounds of an AdmissionQueue.
  */
 struct AdmissionQueueOptions {
@@ -28,7 +28,7 @@
 };
 
 /** \class WaitingRequest
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief A request that waits for its turn.
  */
 struct WaitingRequest {
@@ -46,7 +46,7 @@
 };
 
 /** \class QueueRefusal
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief A request that left the queue without having been dispatched: its verdict is not-run.
  */
 struct QueueRefusal {
@@ -60,7 +60,7 @@
 };
 
 /** \class AdmissionQueue
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Weighted fair queue of an entry, by organisation, in two priorities, with early refusal.
  *
  * Start-time fair queueing within each priority: an organisation that asks for more than its part waits behind itself, not
--- a/Apricothead/src/Coordination/Cascade.h
+++ b/Apricothead/src/Decisions/Cascade.h
@@ -10,7 +10,7 @@
 namespace Apricothead {
 
 /** \class CascadeTier
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief One model of a cascade, cheapest first.
  */
 struct CascadeTier {
@@ -25,7 +25,7 @@
 };
 
 /** \enum RatingState
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief What is known of the rating of the newest answer.
  */
 enum class RatingState {
@@ -36,7 +36,7 @@
 };
 
 /** \class CascadeMemoryOptions
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief How a CascadeMemory learns.
  */
 struct CascadeMemoryOptions {
@@ -52,7 +52,7 @@
 };
 
 /** \class CascadeMemory
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Learns for each organisation and kind of request how often a tier's answer is good enough.
  */
 class CascadeMemory
@@ -96,7 +96,7 @@
 };
 
 /** \class CascadeView
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief One request's way through a cascade so far.
  */
 struct CascadeView {
@@ -117,7 +117,7 @@
 };
 
 /** \enum CascadeAction
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief What comes next in a cascade.
  */
 enum class CascadeAction {
@@ -130,7 +130,7 @@
 };
 
 /** \class CascadeDecision
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief The next action, with the tier to run.
  */
 struct CascadeDecision {
--- a/Apricothead/src/Coordination/DispatchWindow.h
+++ b/Apricothead/src/Decisions/DispatchWindow.h
@@ -5,7 +5,7 @@
 namespace Apricothead {
 
 /** \class DispatchWindowOptions
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief How far an entry fills the endpoints' batches.
  */
 struct DispatchWindowOptions {
@@ -16,7 +16,7 @@
 };
 
 /** \class DispatchWindow
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief How many runs an entry may have under way, and how many of them may wait for their first token.
  */
 struct DispatchWindow {
--- a/Apricothead/src/Coordination/EndpointTracker.h
+++ b/Apricothead/src/Decisions/EndpointTracker.h
@@ -7,7 +7,7 @@
 namespace Apricothead {
 
 /** \class EndpointTrackerOptions
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief When an endpoint counts as silent or as an outlier, and how it comes back.
  */
 struct EndpointTrackerOptions {
@@ -30,7 +30,7 @@
 };
 
 /** \enum RunEnd
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief How a run ended, as far as the endpoint's health is concerned.
  */
 enum class RunEnd {
@@ -42,7 +42,7 @@
 };
 
 /** \class RunTicket
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief A run that EndpointTracker was told of; handed back as it goes on.
  */
 struct RunTicket {
@@ -56,7 +56,7 @@
 };
 
 /** \class LoadReading
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief One load report of an endpoint.
  */
 struct LoadReading {
@@ -72,7 +72,7 @@
 };
 
 /** \class EjectionChange
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief An endpoint that was ejected or came back, with the reason for the log.
  */
 struct EjectionChange {
@@ -86,7 +86,7 @@
 };
 
 /** \class EndpointTracker
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Keeps an entry's RoutingTable up to date from what the entry sees, and ejects outliers.
  *
  * No I/O and no clock: each call gets the reading of one monotonic clock in ms.
--- a/Apricothead/src/Coordination/EvidenceBook.h
+++ b/Apricothead/src/Decisions/EvidenceBook.h
@@ -17,7 +17,7 @@
 namespace Apricothead {
 
 /** \class EvidenceBookOptions
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief How answers are judged and how long their counts are kept.
  */
 struct EvidenceBookOptions {
@@ -35,7 +35,7 @@
 };
 
 /** \class EvidenceSpan
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief What all entries saw of one version within one span of time.
  */
 struct EvidenceSpan {
@@ -51,7 +51,7 @@
 EvidenceSpan sumOfSpans(const std::vector<EvidenceSpan> &spans, std::int64_t fromMs);
 
 /** \class EvidenceBook
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Counts how answers of each version end, here and at the other entries.
  *
  * Times are wall-clock ms, so that the spans of different entries match. Counts may be received twice or out of order.
--- a/Apricothead/src/Coordination/Placement.h
+++ b/Apricothead/src/Decisions/Placement.h
@@ -9,7 +9,7 @@
 namespace Apricothead {
 
 /** \class PlacementVersion
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief What one version needs.
  */
 struct PlacementVersion {
@@ -27,7 +27,7 @@
 };
 
 /** \class PlacementEndpoint
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Where versions can be loaded.
  */
 struct PlacementEndpoint {
@@ -47,7 +47,7 @@
 };
 
 /** \class PlacementOptions
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief When copies are added and removed.
  */
 struct PlacementOptions {
@@ -65,7 +65,7 @@
 };
 
 /** \class PlacementOrder
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief One order to an engine. It is sent with a fencing number granted by the replicated log.
  */
 struct PlacementOrder {
@@ -81,7 +81,7 @@
 };
 
 /** \class PlacementMemory
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief What one decision hands to the next: since when a demand is beyond a bound, and the weight store's allowance.
  */
 struct PlacementMemory {
@@ -101,7 +101,7 @@
 };
 
 /** \class PlacementDecision
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Orders to give now, and the memory for the next decision.
  */
 struct PlacementDecision {
--- a/Apricothead/src/Coordination/PrefixIndex.h
+++ b/Apricothead/src/Decisions/PrefixIndex.h
@@ -9,7 +9,7 @@
 namespace Apricothead {
 
 /** \class PrefixBlock
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief One leading part of a prompt: the hash of all bytes up to its end, and its share of the prompt.
  */
 struct PrefixBlock {
@@ -23,7 +23,7 @@
 std::vector<PrefixBlock> prefixChain(const std::vector<std::string_view> &messages);
 
 /** \class PrefixIndexOptions
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Bounds on what a PrefixIndex remembers and how long it trusts it.
  */
 struct PrefixIndexOptions {
@@ -35,7 +35,7 @@
 };
 
 /** \class PrefixIndex
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Remembers which endpoints are thought to hold which prefixes.
  *
  * Fed by this entry's own dispatches, which are never late, and by the engines' cache events, which are late and have gaps.
--- a/Apricothead/src/Coordination/RetryBudget.h
+++ b/Apricothead/src/Decisions/RetryBudget.h
@@ -7,7 +7,7 @@
 namespace Apricothead {
 
 /** \class RetryBudgetOptions
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief How many retries an entry may add to the load.
  */
 struct RetryBudgetOptions {
@@ -24,7 +24,7 @@
 };
 
 /** \class RetryQuestion
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief An attempt that ended without a whole answer.
  */
 struct RetryQuestion {
@@ -42,7 +42,7 @@
 };
 
 /** \class RetryDecision
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Whether to try again, and why.
  */
 struct RetryDecision {
@@ -55,7 +55,7 @@
 };
 
 /** \class RetryBudget
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Allows retries in proportion to successes, so that they cannot multiply an overload.
  */
 class RetryBudget
--- a/Apricothead/src/Coordination/RolloutController.h
+++ b/Apricothead/src/Decisions/RolloutController.h
@@ -5,7 +5,7 @@
 namespace Apricothead {
 
 /** \class RolloutStep
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief A share of the traffic, and the evidence that allows to go beyond it.
  */
 struct RolloutStep {
@@ -17,7 +17,7 @@
 };
 
 /** \class RolloutOptions
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief How carefully versions are rolled out and watched.
  */
 struct RolloutOptions {
@@ -40,7 +40,7 @@
 };
 
 /** \enum RolloutAction
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief What is to be done about a version.
  */
 enum class RolloutAction {
@@ -57,7 +57,7 @@
 std::string rolloutActionName(RolloutAction action);
 
 /** \class RolloutDecision
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief One decision on a version, with its command for the replicated log.
  */
 struct RolloutDecision {
@@ -76,7 +76,7 @@
 };
 
 /** \class RolloutController
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Takes versions into use step by step, and out of use when they turn bad, by evidence from all entries.
  *
  * The share and state of a roll-out live in the configuration, and the evidence in the EvidenceBook. So any number of instances
--- a/Apricothead/src/Coordination/Routing.h
+++ b/Apricothead/src/Decisions/Routing.h
@@ -8,7 +8,7 @@
 namespace Apricothead {
 
 /** \class EndpointView
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief What an entry knows of one endpoint when it decides. Times are in milliseconds of the entry's own clock.
  */
 struct EndpointView {
@@ -53,7 +53,7 @@
 };
 
 /** \class PrefixCandidate
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief An endpoint thought to hold a part of a request's prefix in its cache.
  * \sa PrefixIndex
  */
@@ -66,7 +66,7 @@
 };
 
 /** \class RoutingRequest
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief What routing needs to know of a request.
  */
 struct RoutingRequest {
@@ -94,7 +94,7 @@
 };
 
 /** \class RoutingDecision
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief The chosen endpoint, or none, with the reason and the best alternatives in short.
  */
 struct RoutingDecision {
--- a/Apricothead/src/Coordination/RoutingTable.h
+++ b/Apricothead/src/Decisions/RoutingTable.h
@@ -8,7 +8,7 @@
 namespace Apricothead {
 
 /** \class ServedModel
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief A model and version that an endpoint has loaded.
  */
 struct ServedModel {
@@ -19,7 +19,7 @@
 };
 
 /** \class ModelLoad
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief What the endpoints of one model can take and have under way.
  */
 struct ModelLoad {
@@ -33,7 +33,7 @@
 };
 
 /** \class RoutingTable
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief The endpoints an entry knows, indexed by version, so that a decision copies none of them.
  *
  * The owner keeps the views up to date with change(); one decision costs the same with 20 or 2,000 endpoints.
--- a/Apricothead/src/Coordination/SequentialTest.h
+++ b/Apricothead/src/Decisions/SequentialTest.h
@@ -5,7 +5,7 @@
 namespace Apricothead {
 
 /** \class IndicatorCounts
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief How often something bad was seen in how many answers.
  */
 struct IndicatorCounts {
--- a/Apricothead/src/Coordination/SharedLimiter.h
+++ b/Apricothead/src/Decisions/SharedLimiter.h
@@ -10,7 +10,7 @@
 namespace Apricothead {
 
 /** \class SharedLimiterOptions
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief How the entries share an organisation's limits.
  */
 struct SharedLimiterOptions {
@@ -26,7 +26,7 @@
 };
 
 /** \class LimitDecision
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Whether an organisation's limits allow a request, and when to come again if not.
  */
 struct LimitDecision {
@@ -39,7 +39,7 @@
 };
 
 /** \class SharedLimiter
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief This entry's part of each organisation's token buckets.
  *
  * The entries tell each other their demand in a digest about once a second and each takes the matching part of the limit, so no
--- a/Apricothead/src/Coordination/TokenBucket.h
+++ b/Apricothead/src/Decisions/TokenBucket.h
@@ -3,7 +3,7 @@
 namespace Apricothead {
 
 /** \class TokenBucket
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief Tokens that flow in at a rate up to a bound. Times in ms of one monotonic clock, rate in tokens a second.
  */
 class TokenBucket
--- a/Apricothead/src/Coordination/VersionChoice.h
+++ b/Apricothead/src/Decisions/VersionChoice.h
@@ -7,7 +7,7 @@
 namespace Apricothead {
 
 /** \class VersionRequest
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief What the choice of a version depends on.
  */
 struct VersionRequest {
@@ -24,7 +24,7 @@
 };
 
 /** \class VersionDecision
- * \ingroup Coordination_Module
+ * \ingroup Decisions_Module
  * \brief The version to run on, or none, with the reason.
  */
 struct VersionDecision {
--- a/Apricothead/src/Gateway/GatewayContext.h
+++ b/Apricothead/src/Gateway/GatewayContext.h
@@ -4,7 +4,7 @@
 #include "ServingView.h"
 #include "VersionCounts.h"
 
-#include "../Coordination/Metrics.h"
+#include "../Coordination/Shared/Metrics.h"
 #include "../Decisions/DirectEndpoints.h"
 #include "../Decisions/ModelLadder.h"
 #include "../Decisions/RetryWindow.h"
--- a/Apricothead/src/Gateway/ServingView.h
+++ b/Apricothead/src/Gateway/ServingView.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../Coordination/AnnouncementView.h"
-#include "../Coordination/ReplicaClient.h"
+#include "../Coordination/Shared/AnnouncementView.h"
+#include "../Coordination/Shared/ReplicaClient.h"
 #include "../Decisions/PlanIndex.h"
 #include "../Protocol/Settings.h"
 
--- a/test/memberchange.cpp
+++ b/test/memberchange.cpp
@@ -3,7 +3,7 @@
 
 #include "raftworld.h"
 
-#include <Apricothead/src/Coordination/MemberChange.h>
+#include <Apricothead/src/Coordination/Replica/MemberChange.h>
 
 using namespace Apricothead;
 using namespace Apricothead::Test;
--- a/test/serving.cpp
+++ b/test/serving.cpp
@@ -5,9 +5,9 @@
 #include <Apricothead/Decisions>
 #include <Apricothead/Gateway>
 
-#include <Apricothead/src/Coordination/AnnouncementBook.h>
-#include <Apricothead/src/Coordination/AnnouncementView.h>
-#include <Apricothead/src/Coordination/MembershipRepair.h>
+#include <Apricothead/src/Coordination/Replica/MembershipRepair.h>
+#include <Apricothead/src/Coordination/Shared/AnnouncementBook.h>
+#include <Apricothead/src/Coordination/Shared/AnnouncementView.h>
 #include <Apricothead/src/State/ServingTable.h>
 
 using namespace Apricothead;
