Logs to standard output, bounded and never blocking; metrics address; explain

Lines went to standard error through a console sink that waits for its reader, without a bound. Change: a Boost.Log sink that polls before it writes and counts what it drops; a budget of lines a second for each event, failures apart from successes; metrics of gateways and replicas on an address of their own; RequestStory and the command explain. Tests: log (4,000 lines in 2 s on unread output: no call over 100 ms, all lines written or counted), requeststory.

--- /dev/null
+++ b/Apricothead/src/Coordination/Shared/MetricsServer.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Metrics.h"
+
+#include "../../Transport/HttpServer.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Apricothead {
+
+class EventLoop;
+
+/** \class MetricsServer
+ * \ingroup Coordination_Module
+ * \brief Serves the metrics of one process as text under \c /metrics.
+ */
+class MetricsServer
+{
+public:
+    /** \a read is called for each request. Throws std::runtime_error when the address can't be taken. */
+    MetricsServer(EventLoop &loop, const std::string &address, std::function<std::vector<MetricLine>()> read);
+
+private:
+    std::unique_ptr<HttpServer> server;
+};
+
+} // namespace Apricothead
--- /dev/null
+++ b/Apricothead/src/Coordination/Shared/RequestStory.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Apricothead {
+
+/** \class RequestStory
+ * \ingroup Coordination_Module
+ * \brief Puts the way of one request together from log lines of any number of processes, with what each process believed then.
+ *
+ * Takes lines in any order; what stands before the JSON of a line is passed over.
+ */
+class RequestStory
+{
+public:
+    explicit RequestStory(std::string request);
+
+    /** \returns false when the line holds no JSON of a log line */
+    bool take(std::string_view line);
+
+    /** \returns the story as text, a line for each event; empty when no line names the request */
+    std::string tell() const;
+
+private:
+    struct Event {
+        std::int64_t timeMs = 0;
+        std::string process;
+        std::string name;
+        /** Names and values for the reader. */
+        std::string text;
+        /** What a belief is about, so that a newer one takes its place. */
+        std::string subject;
+    };
+    std::vector<Event> beliefsOf(const std::set<std::string> &processes, const std::set<std::string> &endpoints, std::int64_t untilMs) const;
+
+    std::string request;
+    std::vector<Event> own;
+    std::set<std::string> endpoints;
+    std::vector<Event> beliefs;
+};
+
+} // namespace Apricothead
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -405,7 +405,7 @@
     this->context.counts.ended(this->service, current.choice.version, this->route.name());
     this->runs += last == Verdict::NotRun ? 0 : 1;
     this->verdict = combined(this->verdict, last);
-    logLine(LogLevel::Info,
+    logLine(LogLevel::Warning,
             "attempt-ended",
             {{"request", this->request.id},
              {"endpoint", current.choice.endpoint},
@@ -521,7 +521,8 @@
     }
     this->deadlineTimer.stop();
     this->watchTimer.stop();
-    logLine(LogLevel::Info,
+    const bool isServed = status >= StatusOk && status < StatusRedirect && (why == "whole" || why == "endpoint");
+    logLine(isServed ? LogLevel::Info : LogLevel::Warning,
             "request-ended",
             {{"request", this->request.id},
              {"route", this->route.name()},
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -3,6 +3,7 @@
 #include "ForwardRun.h"
 #include "GatewayContext.h"
 
+#include "../Coordination/Shared/MetricsServer.h"
 #include "../Transport/Log.h"
 #include "../Transport/Timer.h"
 
@@ -36,7 +37,6 @@
 constexpr unsigned MostReadyConnections = 32;
 /** A refusal for lack of a lease or plan: time in which one usually comes. */
 constexpr double LeaseRetrySeconds = 0.3;
-constexpr std::string_view MetricsPath = "/metrics";
 
 } // namespace
 
@@ -71,12 +71,14 @@
     void take(HttpRequest request, const std::shared_ptr<HttpReply> &reply);
     void refuse(const std::shared_ptr<HttpReply> &reply, const std::string &id, unsigned status, const std::string &why);
     bool hasLease() const;
+    std::vector<MetricLine> readMetrics();
     void checkStopped();
 
     Settings settings;
     GatewayContext context;
     std::unique_ptr<HttpServer> server;
     std::unique_ptr<HttpServer> readyServer;
+    std::unique_ptr<MetricsServer> metricsServer;
     std::unordered_map<const ForwardRun *, std::unique_ptr<ForwardRun>> runs;
     Timer stopTimer;
     std::uint64_t stoppingSinceMs = 0;
@@ -133,6 +135,31 @@
                                                                  this->answerReady(request, reply);
                                                              },
                                                      });
+    if (!this->settings.metricsAddress.empty()) {
+        this->metricsServer = std::make_unique<MetricsServer>(this->context.loop, this->settings.metricsAddress, [this] {
+            return this->readMetrics();
+        });
+    }
+}
+
+std::vector<MetricLine> GatewayTask::Private::readMetrics()
+{
+    std::vector<MetricLine> lines = this->context.metrics.read();
+    const auto gauge = [&lines](const std::string &name, const std::string &label, double value) {
+        lines.push_back({.name = name, .label = label, .statistic = {}, .value = value});
+    };
+    const std::shared_ptr<const PlanIndex> plan = this->context.view->plan();
+    gauge("plan_revision", {}, plan ? static_cast<double>(plan->revision()) : 0);
+    gauge("lease_age_ms", {}, this->hasLease() ? static_cast<double>(this->context.view->leaseAgeMs()) : -1);
+    gauge("gateways", {}, this->context.view->gateways());
+    gauge("requests_open", {}, static_cast<double>(this->runs.size()));
+    gauge("log_lines_dropped_total", {}, static_cast<double>(droppedLogLines()));
+    for (int index = 0; plan && index < plan->plan().services_size(); ++index) {
+        const std::string &service = plan->plan().services(index).name();
+        gauge("endpoints_ready", service, static_cast<double>(this->context.endpoints.readyCount(service)));
+        gauge("retries_left", service, this->context.retries.left(service, this->context.loop.nowMs()));
+    }
+    return lines;
 }
 
 bool GatewayTask::Private::hasLease() const
@@ -143,10 +170,6 @@
 
 void GatewayTask::Private::answerReady(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply)
 {
-    if (request.path == MetricsPath) {
-        reply->send(StatusOk, {{"Content-Type", "text/plain"}}, metricsPage(this->context.metrics.read()));
-        return;
-    }
     if (request.path != this->context.dialect.readyPath) {
         reply->send(StatusNotFound, {}, {});
         return;
@@ -161,7 +184,7 @@
     if (status == StatusUnavailable) {
         headers["Retry-After"] = std::to_string(LeaseRetrySeconds);
     }
-    logLine(LogLevel::Info,
+    logLine(LogLevel::Warning,
             "request-refused",
             {{"request", id}, {"status", static_cast<std::uint64_t>(status)}, {"why", why}, {"leaseAgeMs", this->context.view->leaseAgeMs()}});
     this->context.metrics.count("requests_refused_total", why);
--- a/Apricothead/src/Protocol/Settings.h
+++ b/Apricothead/src/Protocol/Settings.h
@@ -174,6 +174,8 @@
     /** IP and port of each replica; the port is seedPort where the settings give one. */
     std::vector<std::string> seeds;
     std::string logLevel = "info";
+    /** Where the process's metrics are read; empty: nowhere. */
+    std::string metricsAddress;
     TimingSettings timing;
     std::optional<EntrySettings> entry;
     std::optional<EndpointSettings> endpoint;
--- a/Apricothead/src/Protocol/SettingsReader.cpp
+++ b/Apricothead/src/Protocol/SettingsReader.cpp
@@ -209,6 +209,7 @@
     readValue(document, "availabilityZone", settings.availabilityZone);
     readValue(document, "seeds", settings.seeds);
     readValue(document, "logLevel", settings.logLevel);
+    readValue(document, "metricsAddress", settings.metricsAddress);
     settings.timing = readTiming(document.value("timing", Json::object()));
     if (document.contains("entry")) {
         settings.entry = readEntry(document.at("entry"));
@@ -274,6 +275,9 @@
         addresses.emplace_back("/gateway/callerAddress", settings.gateway->callerAddress);
         addresses.emplace_back("/gateway/readyAddress", settings.gateway->readyAddress);
     }
+    if (!settings.metricsAddress.empty()) {
+        addresses.emplace_back("/metricsAddress", settings.metricsAddress);
+    }
     if (settings.control) {
         addresses.emplace_back("/control/address", settings.control->address);
     }
--- a/app/Commands.h
+++ b/app/Commands.h
@@ -34,6 +34,7 @@
 int recover(const CommandLine &line);
 int call(const CommandLine &line);
 int report(const CommandLine &line);
+int explain(const CommandLine &line);
 int version(const CommandLine &line);
 
 } // namespace Apricothead
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -50,6 +50,12 @@
             "Methods are those of proto/apricothead/v1/operator.proto. Prints the JSON answer. Resends safely under one command id.\n",
             call},
     Command{"report", "print the report", "apricothead report [--address=IP:PORT] [--token=TOKEN]\n\nUnder 25 lines of 60 columns, plain text.\n", report},
+    Command{"explain",
+            "tell the way of one request from logs",
+            "apricothead explain ID [FILE...]\n\n"
+            "Reads log lines of any number of processes from files, or from standard input, and prints in order what became of the request\n"
+            "and what each process that had it believed. Exit code 1: no line names it.\n",
+            explain},
     Command{"version", "print the version", "apricothead version\n", version},
 };
 
