Sessions join a canary late, gateways share their loads, the largest model also when late

(2) Long prompts hold an engine up for seconds, and other gateways did not know (late requests had expected 183 ms and took 3,814). (3) The pace of models was a mean of quotients, 100 tokens a ms for a model that reads 20. Ruled out for (2): counting own work for all gateways, which chased prompts from their homes (433 spills of 1,051). Change: sessions not known at a gateway join the canary only after session_s; the canary's share falls with the number of gateways; loads travel with heartbeats and leases; pace as a quotient of sums; escalation bound 1.5 instead of 0.6 of the objective left.

--- a/Apricothead/src/Coordination/Replica/ServingFeed.cpp
+++ b/Apricothead/src/Coordination/Replica/ServingFeed.cpp
@@ -2,6 +2,7 @@
 
 #include "../../Transport/Log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Apricothead {
@@ -14,6 +15,8 @@
 constexpr std::uint64_t RelayIntervalMs = 1500;
 /** A gateway sends several heartbeats a second. */
 constexpr std::uint64_t GatewaySilenceMs = 3000;
+/** Work that a gateway told of longer ago has been answered or is another's to tell. */
+constexpr std::uint64_t LoadAgeMs = 800;
 /** Chores that come this late show that the process itself stood still. */
 constexpr std::uint64_t PauseMs = 1000;
 
@@ -33,6 +36,7 @@
     gateway.planRevision = heartbeat.plan_revision();
     gateway.heardMs = nowMs;
     gateway.versions.assign(heartbeat.versions().begin(), heartbeat.versions().end());
+    gateway.loads.assign(heartbeat.loads().begin(), heartbeat.loads().end());
     Wire::ClusterUpdate update;
     if (heartbeat.wants_announcements()) {
         update.set_all_announcements(true);
@@ -229,11 +233,31 @@
         update.set_serving_number(this->options.serving().number());
         update.set_gateways(this->gatewayCount(this->choresMs));
         *update.mutable_members() = this->options.membership().members();
+        this->fillLoads(peer, update);
         this->options.send(peer, update);
     }
     return true;
 }
 
+void ServingFeed::fillLoads(const PeerId &peer, Wire::ClusterUpdate &update) const
+{
+    std::map<std::string, Wire::EndpointLoad> sums;
+    for (const auto &[other, gateway] : this->gateways) {
+        if (other == peer || this->choresMs - std::min(this->choresMs, gateway.heardMs) > LoadAgeMs) {
+            continue;
+        }
+        for (const Wire::EndpointLoad &load : gateway.loads) {
+            Wire::EndpointLoad &sum = sums[load.endpoint()];
+            sum.set_endpoint(load.endpoint());
+            sum.set_awaiting_ms(sum.awaiting_ms() + load.awaiting_ms());
+            sum.set_running(sum.running() + load.running());
+        }
+    }
+    for (auto &[endpoint, sum] : sums) {
+        update.add_loads()->Swap(&sum);
+    }
+}
+
 std::vector<GatewayCounts> ServingFeed::counts(std::uint64_t nowMs) const
 {
     std::vector<GatewayCounts> counts;
--- a/Apricothead/src/Coordination/Replica/ServingFeed.h
+++ b/Apricothead/src/Coordination/Replica/ServingFeed.h
@@ -83,7 +83,9 @@
         std::uint64_t planRevision = 0;
         std::uint64_t heardMs = 0;
         std::vector<Wire::VersionCount> versions;
+        std::vector<Wire::EndpointLoad> loads;
     };
+    void fillLoads(const PeerId &peer, Wire::ClusterUpdate &update) const;
     void push(const std::vector<Wire::EndpointAnnouncement> &changed);
     void publish(const std::vector<Wire::EndpointAnnouncement> &changed);
     void fillServing(Gateway &gateway, Wire::ClusterUpdate &update);
--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -9,8 +9,8 @@
 
 /** Weight of the newest attempt in the share of failures: about ten attempts count. */
 constexpr double FailedWeight = 0.1;
-/** Weight of a new measurement of an engine's pace. */
-constexpr double PaceWeight = 0.05;
+/** What an answer leaves of the former ones in the measured pace: about fifty count. */
+constexpr double PaceKept = 0.98;
 /** A prompt of fewer tokens says more of waiting than of an engine's pace. */
 constexpr std::uint64_t LeastTimedTokens = 1000;
 constexpr double SlowestTokensPerMs = 5;
@@ -23,13 +23,13 @@
     return XXH3_64bits_withSeed(data, size, seed);
 }
 
-/** Names the prompt up to and including each shared part; the same parts under another model are another prompt. */
+/** Names the prompt up to and including each part; the same parts under another model are another prompt. */
 std::vector<std::uint64_t> chainOf(const EndpointQuestion &question)
 {
     std::vector<std::uint64_t> chain;
     std::uint64_t hash = hashOf(0, question.model.data(), question.model.size());
-    for (std::size_t index = 0; index + 1 < question.prompt.size(); ++index) {
-        hash = hashOf(hash, &question.prompt[index].id, sizeof(question.prompt[index].id));
+    for (const PromptPart &part : question.prompt) {
+        hash = hashOf(hash, &part.id, sizeof(part.id));
         chain.push_back(hash);
     }
     return chain;
@@ -59,9 +59,34 @@
 DirectEndpoints::DirectEndpoints(DirectEndpointsOptions given) : options(std::move(given))
 { }
 
-void DirectEndpoints::setGateways(std::uint32_t count)
+std::vector<Wire::EndpointLoad> DirectEndpoints::loads() const
 {
-    this->gateways = std::max<std::uint32_t>(1, count);
+    std::vector<Wire::EndpointLoad> listed;
+    for (const auto &[name, endpoint] : this->known) {
+        if (endpoint.running == 0) {
+            continue;
+        }
+        Wire::EndpointLoad &load = listed.emplace_back();
+        load.set_endpoint(name);
+        load.set_awaiting_ms(static_cast<std::uint32_t>(endpoint.awaitingMs));
+        load.set_running(static_cast<std::uint32_t>(endpoint.running));
+    }
+    return listed;
+}
+
+void DirectEndpoints::setOtherLoads(const std::vector<Wire::EndpointLoad> &loads)
+{
+    for (auto &[name, endpoint] : this->known) {
+        endpoint.othersAwaitingMs = 0;
+        endpoint.othersRunning = 0;
+    }
+    for (const Wire::EndpointLoad &load : loads) {
+        const auto found = this->known.find(load.endpoint());
+        if (found != this->known.end()) {
+            found->second.othersAwaitingMs = load.awaiting_ms();
+            found->second.othersRunning = load.running();
+        }
+    }
 }
 
 void DirectEndpoints::announce(const Wire::EndpointAnnouncement &announcement)
@@ -104,14 +129,16 @@
 std::string DirectEndpoints::homeOf(const std::vector<const Known *> &candidates, const EndpointQuestion &question) const
 {
     const std::vector<std::uint64_t> chain = chainOf(question);
-    if (chain.empty()) {
+    if (chain.size() < 2) {
         return {};
     }
+    // The last part is the request's own, or its session's: others share what stands before it.
+    const std::uint64_t shared = chain[chain.size() - 2];
     const Known *home = nullptr;
     std::uint64_t highest = 0;
     for (const Known *endpoint : candidates) {
         const std::string &name = endpoint->announcement.endpoint();
-        const std::uint64_t weight = hashOf(chain.back(), name.data(), name.size());
+        const std::uint64_t weight = hashOf(shared, name.data(), name.size());
         if (home == nullptr || weight > highest) {
             home = endpoint;
             highest = weight;
@@ -135,19 +162,21 @@
 
 double DirectEndpoints::readingMs(const std::string &model, std::uint64_t tokens) const
 {
-    const auto measured = this->tokensPerMs.find(model);
-    return static_cast<double>(tokens) / (measured == this->tokensPerMs.end() ? this->options.tokensPerMs : measured->second);
+    const auto measured = this->paces.find(model);
+    const double tokensPerMs = measured == this->paces.end()
+        ? this->options.tokensPerMs
+        : std::clamp(measured->second.tokens / measured->second.tookMs, SlowestTokensPerMs, FastestTokensPerMs);
+    return static_cast<double>(tokens) / tokensPerMs;
 }
 
 DirectEndpoints::Scored DirectEndpoints::score(const Known &endpoint, const EndpointQuestion &question, const std::string &home) const
 {
     Scored scored{.endpoint = &endpoint, .isHome = endpoint.announcement.endpoint() == home};
-    const std::uint64_t cached = scored.isHome ? sharedTokens(question.prompt) : this->cachedTokens(endpoint, question);
+    const std::uint64_t remembered = this->cachedTokens(endpoint, question);
+    const std::uint64_t cached = scored.isHome ? std::max(remembered, sharedTokens(question.prompt)) : remembered;
     scored.uncachedTokens = allTokens(question.prompt) - cached;
-    const double everywhere = this->gateways;
-    // What others' work costs is seen in the pace that is learned; to count own waiting for all would chase every prompt from its home.
-    scored.expectedMs = endpoint.awaitingMs + this->readingMs(question.model, scored.uncachedTokens)
-        + this->options.perRunningMs * static_cast<double>(endpoint.running) * everywhere;
+    scored.expectedMs = endpoint.awaitingMs + endpoint.othersAwaitingMs + this->readingMs(question.model, scored.uncachedTokens)
+        + this->options.perRunningMs * static_cast<double>(endpoint.running + endpoint.othersRunning);
     if (endpoint.announcement.availability_zone() != this->options.availabilityZone) {
         scored.expectedMs += this->options.otherZoneMs;
     }
@@ -221,10 +250,9 @@
     sentMs = std::max(sentMs, nowMs - tookMs);
     const bool isTimed = choice.uncachedTokens >= LeastTimedTokens && tookMs > 0;
     if (isTimed) {
-        const double measured = static_cast<double>(choice.uncachedTokens) / static_cast<double>(tookMs);
-        const double bounded = std::clamp(measured, SlowestTokensPerMs, FastestTokensPerMs);
-        double &pace = this->tokensPerMs.try_emplace(choice.model, this->options.tokensPerMs).first->second;
-        pace += PaceWeight * (bounded - pace);
+        Pace &pace = this->paces[choice.model];
+        pace.tokens = PaceKept * pace.tokens + static_cast<double>(choice.uncachedTokens);
+        pace.tookMs = PaceKept * pace.tookMs + static_cast<double>(tookMs);
     }
 }
 
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -84,7 +84,7 @@
     /** What another availability zone adds; a few hops. */
     double otherZoneMs = 4;
     /** Running requests slow each other: time that each adds to a first event. */
-    double perRunningMs = 2;
+    double perRunningMs = 3;
     /** Failures in a row that eject an endpoint. */
     unsigned failuresInRow = 3;
     /** Share of failures, over about ten attempts, that ejects. */
@@ -93,7 +93,7 @@
     /** An answer to a request sent this much later shows that an earlier one hangs: priorities reorder less than that. */
     std::uint64_t overtakenMs = 800;
     /** Shared prompts remembered for each endpoint: more than an engine's memory holds. */
-    std::size_t prefixes = 512;
+    std::size_t prefixes = 2048;
 };
 
 /** \class DirectEndpoints
@@ -102,7 +102,8 @@
  *
  * Answers these loads: shared prompts (a rendezvous hash of the shared parts names a home, so gateways agree without a message, and the work
  * spills to others when waiting at home costs more than reading the prompt anew), endpoints that fail, hang or go dark (ejected from few
- * samples, never more than half of a service), uneven gateways (own work counts for all gateways).
+ * samples, never more than half of a service), uneven gateways (gateways tell each other by way of the leader what they have sent,
+ * since one long prompt holds an engine up for seconds).
  */
 class DirectEndpoints
 {
@@ -110,7 +111,11 @@
     DirectEndpoints() = default;
     explicit DirectEndpoints(DirectEndpointsOptions options);
 
-    void setGateways(std::uint32_t gateways);
+    /** \returns own work at each endpoint that has some, for the other gateways */
+    std::vector<Wire::EndpointLoad> loads() const;
+
+    /** What all other gateways have sent; endpoints that are not named have none of it. */
+    void setOtherLoads(const std::vector<Wire::EndpointLoad> &loads);
 
     void announce(const Wire::EndpointAnnouncement &announcement);
 
@@ -139,6 +144,9 @@
         std::uint64_t running = 0;
         /** Time that prompts sent here and not answered yet take, in ms. */
         double awaitingMs = 0;
+        /** Of all other gateways, some hundred ms ago. */
+        double othersAwaitingMs = 0;
+        std::uint64_t othersRunning = 0;
         unsigned failedInRow = 0;
         unsigned ejections = 0;
         double failedShare = 0;
@@ -162,9 +170,12 @@
     bool mayEject(const std::string &service, std::uint64_t nowMs) const;
 
     DirectEndpointsOptions options;
-    std::uint32_t gateways = 4;
-    /** Prompt tokens that an engine reads in a ms with each model, as measured. */
-    std::map<std::string, double> tokensPerMs;
+    /** Sums over recent answers, old ones fading: the quotient of sums weighs long prompts as they weigh on an engine. */
+    struct Pace {
+        double tokens = 0;
+        double tookMs = 0;
+    };
+    std::map<std::string, Pace> paces;
     std::map<std::string, Known> known;
 };
 
--- a/Apricothead/src/Decisions/ModelLadder.h
+++ b/Apricothead/src/Decisions/ModelLadder.h
@@ -15,8 +15,9 @@
 struct ModelLadderOptions {
     /** Opinion of the smaller model, 0 to 100, below which its answer is dropped for the largest model's. */
     int leastConfidence = 50;
-    /** The dearer model's first event must be expected within this part of what is left of the latency objective. */
-    double objectivePart = 0.6;
+    /** The dearer model's first event must be expected within this part of what is left of the latency objective: a sure answer that is a little
+     * late is worth more than a wrong one in time. */
+    double objectivePart = 1.5;
 };
 
 /** \class EscalationQuestion
--- a/Apricothead/src/Decisions/ServiceRolloutJudge.cpp
+++ b/Apricothead/src/Decisions/ServiceRolloutJudge.cpp
@@ -1,5 +1,6 @@
 #include "ServiceRolloutJudge.h"
 
+#include <algorithm>
 #include <set>
 
 namespace Apricothead {
@@ -97,12 +98,19 @@
     return judge(this->sum(rollout.service(), rollout.target(), true, nullptr), this->sum(rollout.service(), rollout.target(), false, nullptr));
 }
 
+unsigned ServiceRolloutJudge::canaryShare() const
+{
+    const auto gateways = std::max<std::size_t>(1, this->lastCounts.size());
+    const auto share = static_cast<unsigned>(this->options.canaryPermilleGateways / gateways);
+    return std::clamp(share, this->options.leastCanaryPermille, this->options.canaryPermille);
+}
+
 unsigned ServiceRolloutJudge::wantedShare(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs, std::uint64_t answers) const
 {
     const auto duration = static_cast<double>(rollout.duration_ms());
     const double part = duration > 0 ? static_cast<double>(elapsedMs) / duration : 1;
     if (part < this->options.canaryPart || answers < this->options.leastAnswers) {
-        return this->options.canaryPermille;
+        return this->canaryShare();
     }
     const double growing = (part - this->options.canaryPart) / (this->options.fullPart - this->options.canaryPart);
     if (growing < 0.33) {
--- a/Apricothead/src/Decisions/ServiceRolloutJudge.h
+++ b/Apricothead/src/Decisions/ServiceRolloutJudge.h
@@ -17,6 +17,9 @@
 struct ServiceRolloutOptions {
     /** Share of the requests that judge the new version: two thirds of the exposure that operators usually allow (15%). */
     unsigned canaryPermille = 100;
+    /** Many gateways see enough with a smaller share: this, over their number, within the bounds above and below. */
+    unsigned canaryPermilleGateways = 600;
+    unsigned leastCanaryPermille = 30;
     /** Part of the time during which the share stays at the canary's: half is promised to sessions, the rest is for drift of clocks. */
     double canaryPart = 0.54;
     /** The share grows to all within this part of the time; in flight work of the former version ends in what is left. */
@@ -75,6 +78,7 @@
     };
     std::string fault(const Wire::ServiceRollout &rollout) const;
     RolloutTally sum(const std::string &service, const std::string &target, bool isTarget, const std::string *route) const;
+    unsigned canaryShare() const;
     unsigned wantedShare(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs, std::uint64_t answers) const;
 
     ServiceRolloutOptions options;
--- a/Apricothead/src/Decisions/VersionSplit.cpp
+++ b/Apricothead/src/Decisions/VersionSplit.cpp
@@ -14,12 +14,18 @@
 VersionSplit::VersionSplit(std::uint64_t session) : sessionMs(session)
 { }
 
-void VersionSplit::setState(const Wire::ServingState &state)
+void VersionSplit::setState(const Wire::ServingState &state, std::uint64_t nowMs)
 {
+    std::map<std::uint64_t, std::uint64_t> since;
     this->rollouts.clear();
     for (const Wire::ServiceRollout &rollout : state.rollouts()) {
         this->rollouts[rollout.service()] = rollout;
+        if (rollout.share_permille() > 0) {
+            const auto former = this->sharedSinceMs.find(rollout.order());
+            since.emplace(rollout.order(), former == this->sharedSinceMs.end() ? nowMs : former->second);
+        }
     }
+    this->sharedSinceMs = std::move(since);
 }
 
 VersionRule VersionSplit::rule(const std::string &service, const std::string &session, std::uint64_t draw, std::uint64_t nowMs)
@@ -43,9 +49,12 @@
     rule.mayFallBack = rule.wantsTarget;
     const auto pin = this->pins.find({service, session});
     const bool isPinned = !session.empty() && pin != this->pins.end() && nowMs - pin->second.usedMs <= this->sessionMs;
+    const auto since = this->sharedSinceMs.find(rollout.order());
+    const bool isYoung = since == this->sharedSinceMs.end() || nowMs - since->second < this->sessionMs;
+    const bool mayBeElsewhere = !session.empty() && !isPinned && isYoung;
     if (isPinned && pin->second.version == rollout.target()) {
         rule.wantsTarget = true;
-    } else if (isPinned && rollout.share_permille() <= CanaryPermille) {
+    } else if ((isPinned || mayBeElsewhere) && rollout.share_permille() <= CanaryPermille) {
         rule.wantsTarget = false;
         rule.mayFallBack = false;
     }
--- a/Apricothead/src/Decisions/VersionSplit.h
+++ b/Apricothead/src/Decisions/VersionSplit.h
@@ -33,7 +33,8 @@
  * \brief Splits the requests of a service between versions during a roll-out, and keeps sessions on their version.
  *
  * A session that was on the former version stays there while the share is the canary's, and a session on the target stays there until the
- * target is rolled back. Sessions are remembered for a bounded time only.
+ * target is rolled back. Sessions are remembered for a bounded time only. A session that another gateway served until now is not known here, so
+ * sessions join the canary only once it has run for as long as they may pause.
  */
 class VersionSplit
 {
@@ -41,7 +42,7 @@
     /** \a sessionMs: requests of one session that follow each other within this time belong together. */
     explicit VersionSplit(std::uint64_t sessionMs);
 
-    void setState(const Wire::ServingState &state);
+    void setState(const Wire::ServingState &state, std::uint64_t nowMs);
 
     /** \a draw: uniform over all values; the same for all requests of a session. */
     VersionRule rule(const std::string &service, const std::string &session, std::uint64_t draw, std::uint64_t nowMs);
@@ -58,6 +59,8 @@
 
     std::uint64_t sessionMs;
     std::map<std::string, Wire::ServiceRollout> rollouts;
+    /** When the target got its first share, by the order of the roll-out. */
+    std::map<std::uint64_t, std::uint64_t> sharedSinceMs;
     std::map<std::pair<std::string, std::string>, Pin> pins;
     std::uint64_t sweptMs = 0;
 };
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -314,12 +314,12 @@
     this->noteAnswered(false);
     if (!this->isStreamStarted) {
         this->isStreamStarted = true;
+        this->firstEventMs = this->now();
         this->reply->startStream(this->attempt->head.status, this->attempt->head.headers);
     }
     if (!event.id.empty()) {
         this->lastEventId = event.id;
     }
-    this->lastEventMs = this->now();
     this->reply->write(event.bytes);
     return true;
 }
@@ -530,6 +530,9 @@
              {"why", why},
              {"verdict", std::string(verdictName(this->verdict))},
              {"sends", static_cast<std::uint64_t>(this->sends)},
+             {"model", this->model},
+             {"promptTokens", this->request.promptTokens},
+             {"firstMs", this->firstEventMs == 0 ? 0 : this->firstEventMs - this->arrivedMs},
              {"tookMs", this->now() - this->arrivedMs}});
     this->context.metrics.count("requests_ended_total", this->route.name() + "," + std::to_string(status) + "," + why);
     this->context.metrics.observe("request_ms", this->route.name(), static_cast<double>(this->now() - this->arrivedMs));
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -105,7 +105,8 @@
     Verdict verdict = Verdict::NotRun;
     bool isStreamStarted = false;
     std::string lastEventId;
-    std::uint64_t lastEventMs = 0;
+    /** When the caller got its first event. */
+    std::uint64_t firstEventMs = 0;
     bool isEnded = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -92,7 +92,7 @@
                                                            .settings = this->settings,
                                                            .onServing =
                                                                [this](const Wire::ServingState &state) {
-                                                                   this->context.versions.setState(state);
+                                                                   this->context.versions.setState(state, this->context.loop.nowMs());
                                                                },
                                                            .onEndpoint =
                                                                [this](const Wire::EndpointAnnouncement &announcement) {
@@ -203,7 +203,6 @@
         this->refuse(reply, request->id, StatusUnavailable, "stopping");
         return;
     }
-    this->context.endpoints.setGateways(this->context.view->gateways());
     this->context.retries.setGateways(this->context.view->gateways());
     const std::shared_ptr<const PlanIndex> plan = this->context.view->plan();
     if (!plan) {
--- a/test/directendpoints.cpp
+++ b/test/directendpoints.cpp
@@ -125,6 +125,22 @@
     BOOST_TEST(!endpoints.isOvertaken(*choice, 1900));
 }
 
+BOOST_AUTO_TEST_CASE(workOfOtherGatewaysIsCounted)
+{
+    DirectEndpoints one = pool(4);
+    DirectEndpoints other = pool(4);
+    const auto home = one.choose(question(), 0);
+    for (unsigned sent = 0; sent < 60; ++sent) {
+        one.started(question(), *home, 0);
+    }
+    // The other gateway keeps to the home until it hears of the work there.
+    BOOST_TEST(other.choose(question(), 0)->endpoint == home->endpoint);
+    other.setOtherLoads(one.loads());
+    BOOST_TEST(other.choose(question(), 0)->endpoint != home->endpoint);
+    other.setOtherLoads({});
+    BOOST_TEST(other.choose(question(), 0)->endpoint == home->endpoint);
+}
+
 BOOST_AUTO_TEST_CASE(versionRuleIsKept)
 {
     DirectEndpoints endpoints;
