--- a/Apricothead/src/Coordination/Shared/RequestStory.cpp
+++ b/Apricothead/src/Coordination/Shared/RequestStory.cpp
@@ -82,6 +82,7 @@
         }
     }
     std::vector<Event> listed;
+    listed.reserve(newest.size());
     for (const auto &[key, belief] : newest) {
         listed.push_back(belief);
     }
--- a/Apricothead/src/Decisions/PlanIndex.cpp
+++ b/Apricothead/src/Decisions/PlanIndex.cpp
@@ -118,7 +118,7 @@
     }
     std::set<std::pair<std::string, std::string>> places;
     for (const Wire::PlanRoute &route : plan.routes()) {
-        const std::string fault = routeFault(route, services);
+        std::string fault = routeFault(route, services);
         if (!fault.empty()) {
             return fault;
         }
--- a/Apricothead/src/Decisions/ServiceRolloutJudge.cpp
+++ b/Apricothead/src/Decisions/ServiceRolloutJudge.cpp
@@ -89,10 +89,9 @@
         return {};
     };
     for (const std::string &route : routes) {
-        const std::string found
-            = judge(this->sum(rollout.service(), rollout.target(), true, &route), this->sum(rollout.service(), rollout.target(), false, &route));
+        std::string found = judge(this->sum(rollout.service(), rollout.target(), true, &route), this->sum(rollout.service(), rollout.target(), false, &route));
         if (!found.empty()) {
-            return "route " + route + ": " + found;
+            return found.insert(0, "route " + route + ": ");
         }
     }
     return judge(this->sum(rollout.service(), rollout.target(), true, nullptr), this->sum(rollout.service(), rollout.target(), false, nullptr));
--- a/Apricothead/src/Decisions/ServiceRolloutJudge.h
+++ b/Apricothead/src/Decisions/ServiceRolloutJudge.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace Apricothead {
@@ -74,7 +74,10 @@
         std::string service;
         std::string version;
         std::string route;
-        auto operator<=>(const Key &) const = default;
+        bool operator<(const Key &other) const
+        {
+            return std::tie(this->service, this->version, this->route) < std::tie(other.service, other.version, other.route);
+        }
     };
     std::string fault(const Wire::ServiceRollout &rollout) const;
     RolloutTally sum(const std::string &service, const std::string &target, bool isTarget, const std::string *route) const;
--- a/test/forwardrun.cpp
+++ b/test/forwardrun.cpp
@@ -178,7 +178,7 @@
 
     std::shared_ptr<RecordedReply> answerTo(const std::string &id, std::string body = {})
     {
-        const auto reply = this->start(id, std::move(body));
+        auto reply = this->start(id, std::move(body));
         BOOST_TEST(runUntil(
             this->loop,
             [&reply] {
--- a/test/scriptedendpoint.h
+++ b/test/scriptedendpoint.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <mutex>
 #include <netinet/in.h>
+#include <stdexcept>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -56,10 +57,13 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(this->listener, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-        listen(this->listener, 16);
+        constexpr int Backlog = 16;
         socklen_t size = sizeof(address);
-        getsockname(this->listener, reinterpret_cast<sockaddr *>(&address), &size);
+        const bool isListening = bind(this->listener, reinterpret_cast<sockaddr *>(&address), size) == 0 && listen(this->listener, Backlog) == 0
+            && getsockname(this->listener, reinterpret_cast<sockaddr *>(&address), &size) == 0;
+        if (!isListening) {
+            throw std::runtime_error("no free port to listen on");
+        }
         this->port = ntohs(address.sin_port);
         this->acceptor = std::thread([this] {
             this->acceptAll();
