--- a/Apricothead/src/Protocol/SettingsReader.cpp
+++ b/Apricothead/src/Protocol/SettingsReader.cpp
@@ -194,6 +194,7 @@
 std::vector<std::string> withPort(const std::vector<std::string> &seeds, unsigned port)
 {
     std::vector<std::string> replaced;
+    replaced.reserve(seeds.size());
     for (const std::string &seed : seeds) {
         replaced.push_back(seed.substr(0, seed.rfind(':') + 1) + std::to_string(port));
     }
