Gateways tell each other the sessions that a canary would take

Read in the code beside: a session's pause was counted from the start of its last request, so a stream longer than session_s lost its pin, and an ended attempt was taken off the books in five places. Ruled out: a longer wait before sessions join (a session may live for the whole roll-out); canaries of requests without a session only (streams all carry one, so nothing would judge the version). Change: during a canary a gateway's heartbeat carries hashes of the sessions it holds on the former version whose draw the share would take (a tenth or less of those that live); the leader's confirmation carries those of all others. Sessions pause from the end of their last request. ForwardRun::closeAttempt is the one place that ends an attempt. Tests: pinnedsessions failed before (known red). It now tells the second gateway what the first holds, as the heartbeat does, and asks in addition that both forget the session after its pause, that a running stream holds it, and that only sessions which would move are told; serving uses started()/ended() for note().

--- a/Apricothead/src/Coordination/Replica/ServingFeed.cpp
+++ b/Apricothead/src/Coordination/Replica/ServingFeed.cpp
@@ -37,6 +37,7 @@
     gateway.heardMs = nowMs;
     gateway.versions.assign(heartbeat.versions().begin(), heartbeat.versions().end());
     gateway.loads.assign(heartbeat.loads().begin(), heartbeat.loads().end());
+    gateway.heldSessions.assign(heartbeat.held_sessions().begin(), heartbeat.held_sessions().end());
     Wire::ClusterUpdate update;
     if (heartbeat.wants_announcements()) {
         update.set_all_announcements(true);
@@ -234,6 +235,7 @@
         update.set_gateways(this->gatewayCount(this->choresMs));
         *update.mutable_members() = this->options.membership().members();
         this->fillLoads(peer, update);
+        this->fillHeldSessions(peer, update);
         this->options.send(peer, update);
     }
     return true;
@@ -258,6 +260,17 @@
     }
 }
 
+void ServingFeed::fillHeldSessions(const PeerId &peer, Wire::ClusterUpdate &update) const
+{
+    for (const auto &[other, gateway] : this->gateways) {
+        // A gateway that is silent for longer has no sessions of its own left.
+        if (other == peer || this->choresMs - std::min(this->choresMs, gateway.heardMs) > GatewaySilenceMs) {
+            continue;
+        }
+        update.mutable_held_sessions()->Add(gateway.heldSessions.begin(), gateway.heldSessions.end());
+    }
+}
+
 std::vector<GatewayCounts> ServingFeed::counts(std::uint64_t nowMs) const
 {
     std::vector<GatewayCounts> counts;
--- a/Apricothead/src/Coordination/Replica/ServingFeed.h
+++ b/Apricothead/src/Coordination/Replica/ServingFeed.h
@@ -84,7 +84,9 @@
         std::uint64_t heardMs = 0;
         std::vector<Wire::VersionCount> versions;
         std::vector<Wire::EndpointLoad> loads;
+        std::vector<std::uint64_t> heldSessions;
     };
+    void fillHeldSessions(const PeerId &peer, Wire::ClusterUpdate &update) const;
     void fillLoads(const PeerId &peer, Wire::ClusterUpdate &update) const;
     void push(const std::vector<Wire::EndpointAnnouncement> &changed);
     void publish(const std::vector<Wire::EndpointAnnouncement> &changed);
--- a/Apricothead/src/Decisions/VersionSplit.h
+++ b/Apricothead/src/Decisions/VersionSplit.h
@@ -5,6 +5,9 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
 
 namespace Apricothead {
 
@@ -33,8 +36,9 @@
  * \brief Splits the requests of a service between versions during a roll-out, and keeps sessions on their version.
  *
  * A session that was on the former version stays there while the share is the canary's, and a session on the target stays there until the
- * target is rolled back. Sessions are remembered for a bounded time only. A session that another gateway served until now is not known here, so
- * sessions join the canary only once it has run for as long as they may pause.
+ * target is rolled back. Sessions are remembered for a bounded time only. Callers move between gateways: so gateways tell each other the few
+ * sessions that the canary's share would take from the former version, and sessions join the canary only once it has run for as long as they
+ * may pause, which is when all of those have been told.
  */
 class VersionSplit
 {
@@ -47,14 +51,26 @@
     /** \a draw: uniform over all values; the same for all requests of a session. */
     VersionRule rule(const std::string &service, const std::string &session, std::uint64_t draw, std::uint64_t nowMs);
 
-    /** A request of \a session was sent to \a version. */
-    void note(const std::string &service, const std::string &session, const std::string &version, std::uint64_t nowMs);
+    /** A request of \a session was sent to \a version. \sa ended() */
+    void started(const std::string &service, const std::string &session, const std::string &version, std::uint64_t nowMs);
+    /** A session pauses from the end of its last request on. */
+    void ended(const std::string &service, const std::string &session, std::uint64_t nowMs);
+
+    /** \returns sessions held on a former version here that a canary's share would take, for the other gateways */
+    std::vector<std::uint64_t> heldSessions(std::uint64_t nowMs) const;
+
+    /** Sessions that other gateways hold on a former version. */
+    void setOtherHeldSessions(const std::vector<std::uint64_t> &sessions, std::uint64_t nowMs);
 
 private:
     struct Pin {
         std::string version;
         std::uint64_t usedMs = 0;
+        /** Requests under way. */
+        unsigned open = 0;
     };
+    bool isAlive(const Pin &pin, std::uint64_t nowMs) const;
+    bool isHeldElsewhere(const std::string &service, const std::string &session, std::uint64_t nowMs) const;
     void forgetOld(std::uint64_t nowMs);
 
     std::uint64_t sessionMs;
@@ -62,7 +78,12 @@
     /** When the target got its first share, by the order of the roll-out. */
     std::map<std::uint64_t, std::uint64_t> sharedSinceMs;
     std::map<std::pair<std::string, std::string>, Pin> pins;
+    /** Until when, by sessionKey(). */
+    std::unordered_map<std::uint64_t, std::uint64_t> heldElsewhereUntilMs;
     std::uint64_t sweptMs = 0;
 };
 
+/** \returns a value uniform over all, the same for all requests of a session at all gateways. \a drawn: its name, or a request's id */
+std::uint64_t versionDraw(std::string_view drawn);
+
 } // namespace Apricothead
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -105,7 +105,7 @@
     this->lastEventId = this->request.lastEventId;
     this->model = this->request.anyModel ? ModelLadder::first(this->route) : this->request.model;
     const std::string &drawn = this->request.session.empty() ? this->request.id : this->request.session;
-    this->draw = XXH3_64bits(drawn.data(), drawn.size());
+    this->draw = versionDraw(drawn);
     this->service = PlanIndex::serviceFor(this->route, XXH3_64bits_withSeed(this->request.id.data(), this->request.id.size(), 1));
     this->context.retries.noteRequest(this->service, this->arrivedMs);
     this->reply->onDisconnect([this, token = this->alive] {
@@ -196,7 +196,7 @@
     this->attempt->startedMs = this->now();
     this->attempt->heardMs = this->attempt->startedMs;
     this->context.endpoints.started(asked, choice, this->now());
-    this->context.versions.note(this->service, this->request.session, choice.version, this->now());
+    this->context.versions.started(this->service, this->request.session, choice.version, this->now());
     this->context.counts.started(this->service, choice.version, this->route.name());
     logLine(LogLevel::Info,
             "request-sent",
@@ -258,20 +258,17 @@
 
 void ForwardRun::escalate()
 {
-    Attempt &current = *this->attempt;
+    const std::optional<int> confidence = this->attempt->head.confidence;
     this->noteAnswered(false);
-    current.call.reset();
-    this->context.endpoints.ended(current.choice, AttemptEnd::Whole, true, this->now());
-    this->context.counts.ended(this->service, current.choice.version, this->route.name());
+    this->closeAttempt(AttemptEnd::Whole);
     ++this->runs;
     this->verdict = combined(this->verdict, Verdict::Ran);
     this->model = ModelLadder::next(this->route, this->model);
     this->tried.clear();
     logLine(LogLevel::Info,
             "model-escalated",
-            {{"request", this->request.id}, {"confidence", static_cast<std::int64_t>(*current.head.confidence)}, {"model", this->model}});
+            {{"request", this->request.id}, {"confidence", static_cast<std::int64_t>(*confidence)}, {"model", this->model}});
     this->context.metrics.count("models_escalated_total", this->route.name());
-    this->endedAttempts.push_back(std::move(this->attempt));
     this->dispatch();
 }
 
@@ -361,16 +358,17 @@
             this->endAttempt(AttemptEnd::Broken, Verdict::MayHaveRun, "stream-cut");
             return;
         }
-        this->context.endpoints.ended(current.choice, AttemptEnd::Whole, true, this->now());
-        this->context.counts.ended(this->service, current.choice.version, this->route.name());
+        const unsigned status = current.head.status;
+        this->closeAttempt(AttemptEnd::Whole);
         this->reply->finish();
-        this->finished(current.head.status, "whole");
+        this->finished(status, "whole");
         return;
     }
     this->noteAnswered(false);
-    this->context.endpoints.ended(current.choice, AttemptEnd::Whole, true, this->now());
-    this->context.counts.ended(this->service, current.choice.version, this->route.name());
-    this->passWhole(current.head, std::move(current.body));
+    const EndpointAnswerHead head = current.head;
+    std::string body = std::move(current.body);
+    this->closeAttempt(AttemptEnd::Whole);
+    this->passWhole(head, std::move(body));
 }
 
 void ForwardRun::passWhole(const EndpointAnswerHead &head, std::string body)
@@ -397,12 +395,20 @@
     return mayRepeat && this->runs < this->route.max_attempts();
 }
 
+void ForwardRun::closeAttempt(AttemptEnd end)
+{
+    const EndpointChoice &choice = this->attempt->choice;
+    this->attempt->call.reset();
+    this->context.endpoints.ended(choice, end, this->attempt->wasAnswered, this->now());
+    this->context.counts.ended(this->service, choice.version, this->route.name());
+    this->context.versions.ended(this->service, this->request.session, this->now());
+    // Not dropped: this may run inside a hook of its call.
+    this->endedAttempts.push_back(std::move(this->attempt));
+}
+
 void ForwardRun::endAttempt(AttemptEnd end, Verdict last, const std::string &why)
 {
     Attempt &current = *this->attempt;
-    current.call.reset();
-    this->context.endpoints.ended(current.choice, end, current.wasAnswered, this->now());
-    this->context.counts.ended(this->service, current.choice.version, this->route.name());
     this->runs += last == Verdict::NotRun ? 0 : 1;
     this->verdict = combined(this->verdict, last);
     logLine(LogLevel::Warning,
@@ -417,9 +423,9 @@
     // A connection that never took a byte costs the endpoint nothing.
     const bool mayAgain = this->mayTryAgain(last) && (end == AttemptEnd::Unreachable || this->context.retries.take(this->service, this->now()));
     const bool isEndpointsAnswer = end == AttemptEnd::Failed && !this->isStreamStarted;
-    EndpointAnswerHead head = current.head;
+    const EndpointAnswerHead head = current.head;
     std::string body = std::move(current.body);
-    this->endedAttempts.push_back(std::move(this->attempt));
+    this->closeAttempt(end);
     if (mayAgain) {
         this->dispatch();
         return;
@@ -475,10 +481,7 @@
         return;
     }
     if (this->attempt) {
-        this->attempt->call.reset();
-        this->context.endpoints.ended(this->attempt->choice, AttemptEnd::Dropped, this->attempt->wasAnswered, this->now());
-        this->context.counts.ended(this->service, this->attempt->choice.version, this->route.name());
-        this->endedAttempts.push_back(std::move(this->attempt));
+        this->closeAttempt(AttemptEnd::Dropped);
         this->verdict = combined(this->verdict, Verdict::MayHaveRun);
     }
     if (this->isStreamStarted) {
@@ -506,10 +509,7 @@
         return;
     }
     if (this->attempt) {
-        this->attempt->call.reset();
-        this->context.endpoints.ended(this->attempt->choice, AttemptEnd::Dropped, this->attempt->wasAnswered, this->now());
-        this->context.counts.ended(this->service, this->attempt->choice.version, this->route.name());
-        this->endedAttempts.push_back(std::move(this->attempt));
+        this->closeAttempt(AttemptEnd::Dropped);
     }
     this->finished(0, "caller-left");
 }
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -70,6 +70,8 @@
     static bool isSuccess(const EndpointAnswerHead &head);
 
     // What next
+    /** The one place where an attempt is taken off the books. */
+    void closeAttempt(AttemptEnd end);
     void endAttempt(AttemptEnd end, Verdict verdict, const std::string &why);
     bool mayTryAgain(Verdict verdict) const;
     void giveUp(const std::string &why);
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -108,6 +108,14 @@
                                                                [this] {
                                                                    return this->context.counts.read();
                                                                },
+                                                           .heldSessions =
+                                                               [this] {
+                                                                   return this->context.versions.heldSessions(this->context.loop.nowMs());
+                                                               },
+                                                           .onHeldSessions =
+                                                               [this](const std::vector<std::uint64_t> &sessions) {
+                                                                   this->context.versions.setOtherHeldSessions(sessions, this->context.loop.nowMs());
+                                                               },
                                                        });
 }
 
--- a/test/pinnedsessions.cpp
+++ b/test/pinnedsessions.cpp
@@ -5,12 +5,13 @@
 
 using namespace Apricothead;
 
-// Known red: gateways do not tell each other which version a session is on.
-BOOST_AUTO_TEST_CASE(sessionThatMovesToAnotherGatewayStaysOnItsVersion)
+namespace {
+
+constexpr std::uint64_t SessionMs = 5000;
+constexpr unsigned CanaryPermille = 100;
+
+Wire::ServingState canary()
 {
-    constexpr std::uint64_t SessionMs = 5000;
-    VersionSplit one(SessionMs);
-    VersionSplit other(SessionMs);
     Wire::ServingState state;
     Wire::ServiceRollout *rollout = state.add_rollouts();
     rollout->set_service("pool");
@@ -18,13 +19,69 @@
     rollout->set_duration_ms(24000);
     rollout->set_order(5);
     rollout->set_state(Wire::SERVICE_ROLLOUT_STATE_RUNNING);
-    rollout->set_share_permille(100);
-    one.setState(state, 0);
-    other.setState(state, 0);
+    rollout->set_share_permille(CanaryPermille);
+    return state;
+}
+
+/** \returns the name of a session that the canary's share takes, or leaves */
+std::string sessionThatMoves(bool moves)
+{
+    for (unsigned number = 0;; ++number) {
+        std::string name = "s-" + std::to_string(number);
+        if ((versionDraw(name) % 1000 < CanaryPermille) == moves) {
+            return name;
+        }
+    }
+}
+
+void serve(VersionSplit &split, const std::string &session, std::uint64_t atMs)
+{
+    split.started("pool", session, "v1", atMs);
+    split.ended("pool", session, atMs);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(sessionThatMovesToAnotherGatewayStaysOnItsVersion)
+{
+    VersionSplit one(SessionMs);
+    VersionSplit other(SessionMs);
+    one.setState(canary(), 0);
+    other.setState(canary(), 0);
+    const std::string session = sessionThatMoves(true);
+    const std::uint64_t draw = versionDraw(session);
     // The session lives through the start of the canary at one gateway, and its next request comes to the other.
-    one.note("pool", "s", "v1", 1000);
-    one.note("pool", "s", "v1", 4000);
-    one.note("pool", "s", "v1", 7000);
-    BOOST_TEST(!one.rule("pool", "s", 0, 8000).wantsTarget);
-    BOOST_TEST(!other.rule("pool", "s", 0, 8000).wantsTarget);
+    serve(one, session, 1000);
+    serve(one, session, 4000);
+    serve(one, session, 7000);
+    other.setOtherHeldSessions(one.heldSessions(7500), 7600);
+    BOOST_TEST(!one.rule("pool", session, draw, 8000).wantsTarget);
+    BOOST_TEST(!other.rule("pool", session, draw, 8000).wantsTarget);
+    // Its pause is over at both.
+    BOOST_TEST(one.heldSessions(12100).empty());
+    BOOST_TEST(other.rule("pool", session, draw, 12700).wantsTarget);
+}
+
+BOOST_AUTO_TEST_CASE(sessionIsHeldWhileItsStreamRuns)
+{
+    VersionSplit split(SessionMs);
+    split.setState(canary(), 0);
+    const std::string session = sessionThatMoves(true);
+    split.started("pool", session, "v1", 1000);
+    BOOST_TEST(!split.rule("pool", session, versionDraw(session), 14000).wantsTarget);
+    BOOST_TEST(split.heldSessions(14000).size() == 1U);
+    split.ended("pool", session, 14000);
+    // A session pauses from the end of its request, not from its start.
+    BOOST_TEST(!split.rule("pool", session, versionDraw(session), 18900).wantsTarget);
+    BOOST_TEST(split.rule("pool", session, versionDraw(session), 19100).wantsTarget);
+}
+
+BOOST_AUTO_TEST_CASE(onlySessionsThatTheCanaryWouldTakeAreTold)
+{
+    VersionSplit split(SessionMs);
+    serve(split, sessionThatMoves(false), 900);
+    serve(split, sessionThatMoves(true), 900);
+    BOOST_TEST(split.heldSessions(1000).empty());
+    split.setState(canary(), 1000);
+    BOOST_TEST(split.heldSessions(1000).size() == 1U);
 }
--- a/test/serving.cpp
+++ b/test/serving.cpp
@@ -336,7 +336,8 @@
 {
     VersionSplit split(5000);
     Wire::ServingState state;
-    split.note("pool", "s", "v1", 0);
+    split.started("pool", "s", "v1", 0);
+    split.ended("pool", "s", 0);
     *state.add_rollouts() = running(100);
     split.setState(state, 0);
     BOOST_TEST(!split.rule("pool", "s", 0, 100).wantsTarget);
@@ -345,7 +346,7 @@
     BOOST_TEST(split.rule("pool", "", 0, 100).wantsTarget);
     BOOST_TEST(split.rule("pool", "t", 0, 5100).wantsTarget);
     BOOST_TEST(!split.rule("pool", "t", 999, 5100).wantsTarget);
-    split.note("pool", "u", "v2", 100);
+    split.started("pool", "u", "v2", 100);
     BOOST_TEST(split.rule("pool", "u", 999, 200).wantsTarget);
     // Forgotten after its time.
     BOOST_TEST(split.rule("pool", "s", 0, 5200).wantsTarget);
@@ -358,7 +359,7 @@
     *state.add_rollouts() = running(100);
     state.mutable_rollouts(0)->set_state(Wire::SERVICE_ROLLOUT_STATE_ROLLED_BACK);
     split.setState(state, 0);
-    split.note("pool", "u", "v2", 100);
+    split.started("pool", "u", "v2", 100);
     const VersionRule rule = split.rule("pool", "u", 0, 200);
     BOOST_TEST(!rule.wantsTarget);
     BOOST_TEST(!rule.mayFallBack);
