After a restart of everything, requests wait for the leader or come back when there is one

Callers come back once. Ruled out: announcements of endpoints (all but two heard by 34.8, before the plan) and the lease's confirmation (within 0.1 s of the leader). Change: a replica that has just started stands for election after 8 to 16 ticks instead of 25 to 50 (the pre-vote keeps followers of a living leader loyal); a request that finds no plan or lease waits for an eighth of its caller's patience, 0.7 s at most, in a bounded room, while the outage is young; a refused one is told to come back when a leader is expected, spread, within the third of its time that callers follow. Tests: outage (new), raft aReplicaThatHasJustStartedStandsEarly: neither could pass before, the functions are new.

--- a/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
@@ -32,6 +32,8 @@
 /** Interval of work that is not urgent: endpoint watch, expiry, membership changes. */
 constexpr std::chrono::milliseconds ChoreInterval{100};
 constexpr std::uint64_t InviteAgainMs = 500;
+/** Beside a heartbeat's interval: ticks that a leader's first message takes to a replica that has just started, with its connection. */
+constexpr unsigned FirstElectionSlackTicks = 3;
 /** A repair that has not ended by then is weighed anew: its newcomer may be gone. */
 constexpr std::uint64_t RepairGivenUpMs = 4000;
 /** Orphaned records settled in one go. */
@@ -245,6 +247,7 @@
         RaftOptions{
             .self = this->store->replica(),
             .electionTicks = this->settings.timing.raftElectionTicks,
+            .firstElectionTicks = this->settings.timing.raftHeartbeatTicks + FirstElectionSlackTicks,
             .heartbeatTicks = this->settings.timing.raftHeartbeatTicks,
             .random =
                 [this] {
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -2,12 +2,15 @@
 
 #include "ForwardRun.h"
 #include "GatewayContext.h"
+#include "WaitingRoom.h"
 
 #include "../Coordination/Shared/MetricsServer.h"
+#include "../Decisions/OutageAdvice.h"
 #include "../Transport/Log.h"
 #include "../Transport/Timer.h"
 
 #include <algorithm>
+#include <limits>
 #include <unordered_map>
 #include <utility>
 
@@ -26,6 +29,8 @@
 constexpr std::uint64_t LeaseMarginMs = 800;
 /** The platform asks once a second whether the gateway is ready, and takes two misses; what comes later is refused, and listening ends. */
 constexpr std::uint64_t NoticeMs = 2700;
+/** A caller that comes to a gateway which stops finds another one at once. */
+constexpr std::uint64_t StoppingReturnMs = 50;
 constexpr milliseconds StopCheckInterval{50};
 /** New connections bring their request within this time. */
 constexpr milliseconds KeptIdle{300};
@@ -35,8 +40,9 @@
 constexpr std::chrono::seconds CallerIdle{60};
 constexpr unsigned MostCallerConnections = 1000;
 constexpr unsigned MostReadyConnections = 32;
-/** A refusal for lack of a lease or plan: time in which one usually comes. */
-constexpr double LeaseRetrySeconds = 0.3;
+/** Assumed of a caller that does not say how long it waits. */
+constexpr std::uint64_t UnsaidPatienceMs = 1000;
+constexpr double MsPerSecond = 1000;
 
 } // namespace
 
@@ -60,6 +66,22 @@
                       this->runs.erase(run);
                   },
           }
+        , waitingRoom(loop,
+                      {
+                          .isOver =
+                              [this] {
+                                  return this->hasLease();
+                              },
+                          .admit =
+                              [this](ForwardRequest request, const std::shared_ptr<HttpReply> &reply) {
+                                  this->admit(std::move(request), reply);
+                              },
+                          .refuse =
+                              [this](const ForwardRequest &request, const std::shared_ptr<HttpReply> &reply) {
+                                  this->refuseForLease(request, reply);
+                              },
+                      })
+        , startedMs(loop.nowMs())
         , stopTimer(loop, [this] {
             this->checkStopped();
         })
@@ -69,8 +91,12 @@
     void follow();
     void answerReady(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
     void take(HttpRequest request, const std::shared_ptr<HttpReply> &reply);
-    void refuse(const std::shared_ptr<HttpReply> &reply, const std::string &id, unsigned status, const std::string &why);
+    void admit(ForwardRequest request, const std::shared_ptr<HttpReply> &reply);
+    void waitForLease(ForwardRequest request, const std::shared_ptr<HttpReply> &reply);
+    void refuseForLease(const ForwardRequest &request, const std::shared_ptr<HttpReply> &reply);
+    void refuse(const std::shared_ptr<HttpReply> &reply, const std::string &id, unsigned status, const std::string &why, std::uint64_t returnMs = 0);
     bool hasLease() const;
+    OutageQuestion outageQuestion(const ForwardRequest &request) const;
     std::vector<MetricLine> readMetrics();
     void checkStopped();
 
@@ -80,6 +106,8 @@
     std::unique_ptr<HttpServer> readyServer;
     std::unique_ptr<MetricsServer> metricsServer;
     std::unordered_map<const ForwardRun *, std::unique_ptr<ForwardRun>> runs;
+    WaitingRoom waitingRoom;
+    const std::uint64_t startedMs;
     Timer stopTimer;
     std::uint64_t stoppingSinceMs = 0;
     std::function<void()> stopped;
@@ -161,6 +189,7 @@
     gauge("lease_age_ms", {}, this->hasLease() ? static_cast<double>(this->context.view->leaseAgeMs()) : -1);
     gauge("gateways", {}, this->context.view->gateways());
     gauge("requests_open", {}, static_cast<double>(this->runs.size()));
+    gauge("requests_waiting", {}, static_cast<double>(this->waitingRoom.size()));
     gauge("log_lines_dropped_total", {}, static_cast<double>(droppedLogLines()));
     for (int index = 0; plan && index < plan->plan().services_size(); ++index) {
         const std::string &service = plan->plan().services(index).name();
@@ -186,15 +215,53 @@
     reply->send(isReady ? StatusOk : StatusUnavailable, {}, {});
 }
 
-void GatewayTask::Private::refuse(const std::shared_ptr<HttpReply> &reply, const std::string &id, unsigned status, const std::string &why)
+OutageQuestion GatewayTask::Private::outageQuestion(const ForwardRequest &request) const
+{
+    const auto bound = static_cast<std::uint64_t>(this->settings.gateway->revocation.count());
+    const std::uint64_t ageMs = this->context.view->leaseAgeMs();
+    const bool hadLease = ageMs != std::numeric_limits<std::uint64_t>::max();
+    const std::uint64_t lostMs = ageMs + LeaseMarginMs - std::min(ageMs + LeaseMarginMs, bound);
+    return {
+        .patienceMs = request.patienceMs.value_or(UnsaidPatienceMs),
+        .outageMs = hadLease ? lostMs : this->context.loop.nowMs() - this->startedMs,
+        .draw = versionDraw(request.id),
+    };
+}
+
+void GatewayTask::Private::waitForLease(ForwardRequest request, const std::shared_ptr<HttpReply> &reply)
+{
+    const std::uint64_t holdMs = outageHoldMs(this->outageQuestion(request));
+    const std::string id = request.id;
+    if (holdMs == 0 || !this->waitingRoom.take(request, reply, holdMs)) {
+        this->refuseForLease(request, reply);
+        return;
+    }
+    logLine(LogLevel::Info, "request-held", {{"request", id}, {"holdMs", holdMs}, {"leaseAgeMs", this->context.view->leaseAgeMs()}});
+}
+
+void GatewayTask::Private::refuseForLease(const ForwardRequest &request, const std::shared_ptr<HttpReply> &reply)
+{
+    const std::string why = this->context.view->plan() ? "no-lease" : "no-plan";
+    this->refuse(reply, request.id, StatusUnavailable, why, outageReturnMs(this->outageQuestion(request)));
+}
+
+void GatewayTask::Private::refuse(const std::shared_ptr<HttpReply> &reply,
+                                  const std::string &id,
+                                  unsigned status,
+                                  const std::string &why,
+                                  std::uint64_t returnMs)
 {
     HttpHeaders headers{{"Content-Type", "application/json"}};
-    if (status == StatusUnavailable) {
-        headers["Retry-After"] = std::to_string(LeaseRetrySeconds);
+    if (returnMs > 0) {
+        headers["Retry-After"] = std::to_string(static_cast<double>(returnMs) / MsPerSecond);
     }
     logLine(LogLevel::Warning,
             "request-refused",
-            {{"request", id}, {"status", static_cast<std::uint64_t>(status)}, {"why", why}, {"leaseAgeMs", this->context.view->leaseAgeMs()}});
+            {{"request", id},
+             {"status", static_cast<std::uint64_t>(status)},
+             {"why", why},
+             {"returnMs", returnMs},
+             {"leaseAgeMs", this->context.view->leaseAgeMs()}});
     this->context.metrics.count("requests_refused_total", why);
     reply->send(status, headers, "{\"error\":\"" + why + "\"}");
 }
@@ -208,33 +275,38 @@
     }
     const bool isLate = this->stoppingSinceMs != 0 && this->context.loop.nowMs() - this->stoppingSinceMs > NoticeMs;
     if (isLate) {
-        this->refuse(reply, request->id, StatusUnavailable, "stopping");
+        this->refuse(reply, request->id, StatusUnavailable, "stopping", StoppingReturnMs);
         return;
     }
+    this->admit(*std::move(request), reply);
+}
+
+void GatewayTask::Private::admit(ForwardRequest request, const std::shared_ptr<HttpReply> &reply)
+{
     this->context.retries.setGateways(this->context.view->gateways());
     const std::shared_ptr<const PlanIndex> plan = this->context.view->plan();
     if (!plan) {
-        this->refuse(reply, request->id, StatusUnavailable, "no-plan");
+        this->waitForLease(std::move(request), reply);
         return;
     }
     // Without a lease a newer plan may be in force elsewhere: what this one lacks proves nothing.
     const bool hasLease = this->hasLease();
-    const Wire::PlanRoute *route = plan->route(request->host, request->path);
-    if (route == nullptr) {
-        this->refuse(reply, request->id, hasLease ? StatusNotFound : StatusUnavailable, hasLease ? "no-route" : "no-lease");
+    const Wire::PlanRoute *route = plan->route(request.host, request.path);
+    const bool needsKey = route != nullptr && !route->open() && plan->plan().organisations_size() > 0;
+    if (!hasLease && (route == nullptr || needsKey)) {
+        this->waitForLease(std::move(request), reply);
         return;
     }
-    const bool needsKey = !route->open() && plan->plan().organisations_size() > 0;
-    const Wire::PlanOrganisation *organisation = needsKey ? plan->organisation(request->key) : nullptr;
-    if (needsKey && !hasLease) {
-        this->refuse(reply, request->id, StatusUnavailable, "no-lease");
+    if (route == nullptr) {
+        this->refuse(reply, request.id, StatusNotFound, "no-route");
         return;
     }
+    const Wire::PlanOrganisation *organisation = needsKey ? plan->organisation(request.key) : nullptr;
     if (needsKey && organisation == nullptr) {
-        this->refuse(reply, request->id, StatusUnauthorised, "unknown-key");
+        this->refuse(reply, request.id, StatusUnauthorised, "unknown-key");
         return;
     }
-    auto run = std::make_unique<ForwardRun>(this->context, *std::move(request), reply, plan, route, organisation);
+    auto run = std::make_unique<ForwardRun>(this->context, std::move(request), reply, plan, route, organisation);
     ForwardRun &started = *run;
     this->runs.emplace(&started, std::move(run));
     started.start();
--- a/Apricothead/src/State/Raft.cpp
+++ b/Apricothead/src/State/Raft.cpp
@@ -37,7 +37,9 @@
     , handedOut(entries.snapshot().index)
     , syncedIndex(entries.lastIndex())
 {
-    this->resetElectionTimer();
+    // A replica that has just started knows of no leader to wait for. One that lives makes itself heard within a heartbeat, and the pre-vote keeps
+    // its followers loyal; after a restart of the whole group nobody serves until there is one.
+    this->electionTimeout = this->options.firstElectionTicks + static_cast<unsigned>(this->options.random() % this->options.firstElectionTicks);
 }
 
 RaftRole Raft::role() const
--- a/Apricothead/src/State/Raft.h
+++ b/Apricothead/src/State/Raft.h
@@ -17,6 +17,8 @@
     std::string self;
     /** An election starts after one to two times this many ticks without a leader. */
     unsigned electionTicks = 25;
+    /** The same for the first election after a start: longer than a heartbeat takes to arrive. */
+    unsigned firstElectionTicks = 8;
     unsigned heartbeatTicks = 5;
     std::size_t maxAppendBytes = 1024 * 1024;
     std::size_t snapshotPieceBytes = 256 * 1024;
--- a/test/forwardrun.cpp
+++ b/test/forwardrun.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE forwardrun
 #include "main.h"
 
+#include "recordedreply.h"
 #include "scriptedendpoint.h"
 #include "support/Wait.h"
 
@@ -17,58 +18,6 @@
 
 constexpr milliseconds Patience{8000};
 
-/** What the caller got. */
-class RecordedReply : public HttpReply
-{
-public:
-    void send(unsigned givenStatus, const HttpHeaders &givenHeaders, std::string givenBody) override
-    {
-        this->status = givenStatus;
-        this->headers = givenHeaders;
-        this->body = std::move(givenBody);
-        this->isEnded = true;
-    }
-    void startStream(unsigned givenStatus, const HttpHeaders &givenHeaders) override
-    {
-        this->status = givenStatus;
-        this->headers = givenHeaders;
-    }
-    void write(std::string_view bytes) override
-    {
-        this->body.append(bytes);
-    }
-    void finish() override
-    {
-        this->isEnded = true;
-        this->isWhole = true;
-    }
-    void abort() override
-    {
-        this->isEnded = true;
-        this->isAborted = true;
-    }
-    std::size_t queuedBytes() const override
-    {
-        return 0;
-    }
-    void onDisconnect(std::function<void()> hook) override
-    {
-        this->leave = std::move(hook);
-    }
-    void onDrained(std::function<void()>) override
-    { }
-    void onSent(std::function<void()>) override
-    { }
-
-    unsigned status = 0;
-    HttpHeaders headers;
-    std::string body;
-    bool isEnded = false;
-    bool isWhole = false;
-    bool isAborted = false;
-    std::function<void()> leave;
-};
-
 /** A dialect of short field names. */
 GatewayDialect testDialect()
 {
--- /dev/null
+++ b/test/outage.cpp
@@ -0,0 +1,111 @@
+#define BOOST_TEST_MODULE outage
+#include "main.h"
+
+#include "recordedreply.h"
+#include "support/Wait.h"
+
+#include <Apricothead/Decisions>
+#include <Apricothead/Gateway>
+#include <Apricothead/Transport>
+
+#include <set>
+
+using namespace Apricothead;
+using namespace Apricothead::Test;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct Room {
+    EventLoop loop;
+    bool isOver = false;
+    std::vector<ForwardRequest> admitted;
+    std::vector<ForwardRequest> refused;
+    WaitingRoom room{loop,
+                     {
+                         .isOver =
+                             [this] {
+                                 return this->isOver;
+                             },
+                         .admit =
+                             [this](ForwardRequest request, const std::shared_ptr<HttpReply> &) {
+                                 this->admitted.push_back(std::move(request));
+                             },
+                         .refuse =
+                             [this](const ForwardRequest &request, const std::shared_ptr<HttpReply> &) {
+                                 this->refused.push_back(request);
+                             },
+                         .most = 2,
+                     }};
+
+    std::shared_ptr<RecordedReply> wait(const std::string &id, std::uint64_t holdMs)
+    {
+        auto reply = std::make_shared<RecordedReply>();
+        ForwardRequest request{.id = id, .patienceMs = 1000};
+        BOOST_TEST(this->room.take(request, reply, holdMs));
+        return reply;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requestWaitsForASmallPartOfItsCallersPatience)
+{
+    BOOST_TEST(outageHoldMs({.patienceMs = 800, .outageMs = 100}) == 100U);
+    // No longer than a group takes to elect its first leader.
+    BOOST_TEST(outageHoldMs({.patienceMs = 20000, .outageMs = 100}) <= 1000U);
+    // What has lasted longer than that is no election.
+    BOOST_TEST(outageHoldMs({.patienceMs = 20000, .outageMs = 3000}) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(callersComeBackWhenALeaderIsExpectedAndNotTogether)
+{
+    // All were killed, and most callers come again only once: after 0.2 s there is no leader yet.
+    std::set<std::uint64_t> times;
+    for (std::uint64_t draw = 0; draw < 100; ++draw) {
+        const std::uint64_t returnMs = outageReturnMs({.patienceMs = 20000, .outageMs = 100, .draw = draw * 7919});
+        BOOST_TEST(returnMs >= 500U);
+        BOOST_TEST(returnMs <= 1500U);
+        times.insert(returnMs);
+    }
+    BOOST_TEST(times.size() > 50U);
+    // Callers follow an advice up to a third of their time.
+    BOOST_TEST(outageReturnMs({.patienceMs = 600, .outageMs = 100}) <= 200U);
+    BOOST_TEST(outageReturnMs({.patienceMs = 20000, .outageMs = 60000}) <= 6600U);
+}
+
+BOOST_AUTO_TEST_CASE(waitingRequestsAreAdmittedWithWhatIsLeftOfTheirPatience)
+{
+    Room room;
+    room.wait("a", 500);
+    room.wait("b", 500);
+    ForwardRequest third{.id = "c"};
+    BOOST_TEST(!room.room.take(third, std::make_shared<RecordedReply>(), 500));
+    BOOST_TEST(third.id == "c");
+    Timer over(room.loop, [&room] {
+        room.isOver = true;
+    });
+    over.startOnce(milliseconds(100));
+    BOOST_TEST(runUntil(room.loop, [&room] {
+        return room.admitted.size() == 2;
+    }));
+    BOOST_TEST(room.admitted.front().id == "a");
+    BOOST_TEST(*room.admitted.front().patienceMs <= 900U);
+    BOOST_TEST(room.refused.empty());
+    BOOST_TEST(room.room.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(waitingRequestsAreRefusedAfterTheirTimeAndForgottenWhenTheCallerLeaves)
+{
+    Room room;
+    const std::shared_ptr<RecordedReply> left = room.wait("left", 60);
+    room.wait("kept", 60);
+    left->leave();
+    BOOST_TEST(runUntil(room.loop, [&room] {
+        return !room.refused.empty();
+    }));
+    BOOST_TEST(room.refused.size() == 1U);
+    BOOST_TEST(room.refused.front().id == "kept");
+    BOOST_TEST(room.admitted.empty());
+    BOOST_TEST(room.room.size() == 0U);
+}
--- a/test/raft.cpp
+++ b/test/raft.cpp
@@ -245,6 +245,22 @@
     BOOST_TEST(replies[2].reject());
 }
 
+BOOST_AUTO_TEST_CASE(aReplicaThatHasJustStartedStandsEarly)
+{
+    constexpr unsigned FirstTicks = 3;
+    Raft core({.self = "a", .electionTicks = ElectionTicks, .firstElectionTicks = FirstTicks, .heartbeatTicks = 2, .random =
+                                                                                                                       [] {
+                                                                                                                           return 0;
+                                                                                                                       }},
+              diskOf(membershipOf({"a", "b", "c"}), 3));
+    for (unsigned tick = 0; tick + 1 < FirstTicks; ++tick) {
+        core.tick();
+    }
+    BOOST_TEST((core.role() == RaftRole::Follower));
+    core.tick();
+    BOOST_TEST((core.role() == RaftRole::PreCandidate));
+}
+
 BOOST_AUTO_TEST_CASE(aReplicaThatWasCutOffDoesNotDeposeALeader)
 {
     Raft core = coreOf("b", diskOf(membershipOf({"a", "b", "c"}), 2));
