Gateways' loads reach the choice of an endpoint

Change: the hooks are set, and no longer optional, so that a gateway without them doesn't go unseen. Not shown by a test of its own here: the choice by others' loads is tested in directendpoints.

--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -136,6 +136,14 @@
                                                                [this] {
                                                                    return this->context.counts.read();
                                                                },
+                                                           .ownLoads =
+                                                               [this] {
+                                                                   return this->context.endpoints.loads();
+                                                               },
+                                                           .onLoads =
+                                                               [this](const std::vector<Wire::EndpointLoad> &loads) {
+                                                                   this->context.endpoints.setOtherLoads(loads);
+                                                               },
                                                            .heldSessions =
                                                                [this] {
                                                                    return this->context.versions.heldSessions(this->context.loop.nowMs());
--- a/Apricothead/src/Gateway/ServingView.cpp
+++ b/Apricothead/src/Gateway/ServingView.cpp
@@ -79,6 +79,9 @@
     for (Wire::VersionCount &count : this->options.countVersions()) {
         heartbeat.add_versions()->Swap(&count);
     }
+    for (Wire::EndpointLoad &load : this->options.ownLoads()) {
+        heartbeat.add_loads()->Swap(&load);
+    }
     const std::vector<std::uint64_t> held = this->options.heldSessions();
     heartbeat.mutable_held_sessions()->Add(held.begin(), held.end());
 }
@@ -133,6 +136,7 @@
 void ServingView::confirm(const Wire::ClusterUpdate &update)
 {
     this->gatewayCount = update.gateways();
+    this->options.onLoads({update.loads().begin(), update.loads().end()});
     this->options.onHeldSessions({update.held_sessions().begin(), update.held_sessions().end()});
     const auto asked = this->askedMs.find(update.lease_round());
     const bool holdsNewest = this->state.number() >= update.serving_number();
--- a/Apricothead/src/Gateway/ServingView.h
+++ b/Apricothead/src/Gateway/ServingView.h
@@ -27,6 +27,10 @@
     std::function<void(const Wire::EndpointAnnouncement &)> onEndpoint;
     /** \returns what this gateway counted of the versions it sent work to */
     std::function<std::vector<Wire::VersionCount>()> countVersions;
+    /** \returns the work that this gateway has at endpoints */
+    std::function<std::vector<Wire::EndpointLoad>()> ownLoads;
+    /** The work of all other gateways, some hundred ms old. */
+    std::function<void(const std::vector<Wire::EndpointLoad> &)> onLoads;
     /** \returns the sessions that this gateway holds on a former version. \sa VersionSplit::heldSessions() */
     std::function<std::vector<std::uint64_t>()> heldSessions;
     /** Those of all other gateways. */
