One line with its cause for each request that is not served; the log under an unread output tested at a gateway

Written first, eachRequestThatIsNotServedHasOneLineWithItsCause failed: a request that its endpoint refused ended as no-endpoint, since the choice finds nobody after the only endpoint was tried, so the line hid the refusal. Change: a request that finds no further endpoint ends with the cause of its last attempt.

--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -147,7 +147,7 @@
     const EndpointQuestion asked = this->question();
     const std::optional<EndpointChoice> choice = this->context.endpoints.choose(asked, this->now());
     if (!choice) {
-        this->refuse("no-endpoint");
+        this->refuse(this->lastEnd.empty() ? "no-endpoint" : this->lastEnd);
         return;
     }
     this->send(asked, *choice);
@@ -409,6 +409,7 @@
 void ForwardRun::endAttempt(AttemptEnd end, Verdict last, const std::string &why)
 {
     Attempt &current = *this->attempt;
+    this->lastEnd = why;
     this->runs += last == Verdict::NotRun ? 0 : 1;
     this->verdict = combined(this->verdict, last);
     logLine(LogLevel::Warning,
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -102,6 +102,8 @@
     std::unique_ptr<Attempt> attempt;
     std::vector<std::unique_ptr<Attempt>> endedAttempts;
     std::vector<std::string> tried;
+    /** Why the last attempt ended that was not whole. */
+    std::string lastEnd;
     unsigned runs = 0;
     unsigned sends = 0;
     Verdict verdict = Verdict::NotRun;
--- a/test/forwardrun.cpp
+++ b/test/forwardrun.cpp
@@ -4,11 +4,16 @@
 #include "recordedreply.h"
 #include "scriptedendpoint.h"
 #include "support/Wait.h"
+#include "unreadoutput.h"
 
 #include <Apricothead/Gateway>
 #include <Apricothead/Transport>
 
+#include <nlohmann/json.hpp>
+
+#include <map>
 #include <optional>
+#include <sstream>
 
 using namespace Apricothead;
 using namespace Apricothead::Test;
@@ -522,3 +527,58 @@
     BOOST_TEST(reply->body == "id: 1\ndata: large\n\n");
     BOOST_TEST(endpoint.requests().size() == 2U);
 }
+
+BOOST_AUTO_TEST_CASE(eachRequestThatIsNotServedHasOneLineWithItsCause)
+{
+    ScriptedEndpoint endpoint([](ScriptedConnection &connection, const std::string &head) {
+        const std::string id = headerOf(head, "id");
+        if (id.starts_with("refused")) {
+            connection.send("HTTP/1.1 503 Full\r\nid: " + id + "\r\nnot-run: yes\r\ncontent-length: 0\r\n\r\n");
+        } else if (id.starts_with("broken")) {
+            connection.reset();
+        } else if (id.starts_with("failed")) {
+            connection.send("HTTP/1.1 500 Error\r\nid: " + id + "\r\nsigned: yes\r\ncontent-length: 0\r\n\r\n");
+        } else if (!id.starts_with("late")) {
+            connection.send(answerOf(head, "pole"));
+        }
+    });
+    const std::map<std::string, std::string> causes{{"refused", "endpoint-refused"},
+                                                    {"broken", "no-answer"},
+                                                    {"failed", "endpoint"},
+                                                    {"late", "deadline"},
+                                                    {"served", "endpoint"},
+                                                    {"nobody", "no-endpoint"}};
+    constexpr unsigned EachCause = 5;
+    std::string text;
+    {
+        UnreadOutput output;
+        startLog("test", LogLevel::Info);
+        constexpr std::uint64_t TimeoutMs = 300;
+        for (const auto &[name, why] : causes) {
+            GatewayWorld world(Wire::REPEAT_RULE_ONCE, 1, TimeoutMs);
+            if (name != "nobody") {
+                world.announce("one", endpoint.address());
+            }
+            for (unsigned number = 0; number < EachCause; ++number) {
+                world.answerTo(name + "-" + std::to_string(number));
+            }
+        }
+        text = output.taken();
+        setLogLevel(LogLevel::Error);
+    }
+    std::map<std::string, unsigned> lines;
+    std::istringstream written(text);
+    for (std::string line; std::getline(written, line);) {
+        const nlohmann::json parsed = nlohmann::json::parse(line);
+        if (parsed.at("event") != "request-ended") {
+            continue;
+        }
+        const std::string id = parsed.at("request");
+        ++lines[id];
+        BOOST_TEST(parsed.at("why") == causes.at(id.substr(0, id.find('-'))), id << ": " << line);
+    }
+    BOOST_TEST(lines.size() == causes.size() * EachCause);
+    for (const auto &[id, count] : lines) {
+        BOOST_TEST(count == 1U, id);
+    }
+}
