A soak of random faults against the real processes

Not shown yet: each check failing with its guard removed; clocks that jump and disks that misbehave are not drawn.

--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -265,9 +265,7 @@
     this->verdict = combined(this->verdict, Verdict::Ran);
     this->model = ModelLadder::next(this->route, this->model);
     this->tried.clear();
-    logLine(LogLevel::Info,
-            "model-escalated",
-            {{"request", this->request.id}, {"confidence", static_cast<std::int64_t>(*confidence)}, {"model", this->model}});
+    logLine(LogLevel::Info, "model-escalated", {{"request", this->request.id}, {"confidence", static_cast<std::int64_t>(*confidence)}, {"model", this->model}});
     this->context.metrics.count("models_escalated_total", this->route.name());
     this->dispatch();
 }
--- a/Apricothead/src/Gateway/WaitingRoom.cpp
+++ b/Apricothead/src/Gateway/WaitingRoom.cpp
@@ -14,9 +14,7 @@
 } // namespace
 
 WaitingRoom::WaitingRoom(EventLoop &eventLoop, WaitingRoomOptions given)
-    : loop(eventLoop)
-    , options(std::move(given))
-    , timer(eventLoop, [this] {
+    : loop(eventLoop), options(std::move(given)), timer(eventLoop, [this] {
         this->look();
     })
 { }
--- /dev/null
+++ b/soak/FaultSeries.cpp
@@ -0,0 +1,140 @@
+#include "FaultSeries.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace Apricothead::Test {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** A process that is asked to end has this long before it is killed, as on the platform. */
+constexpr milliseconds StopGrace{8000};
+constexpr unsigned LeastDownMs = 200;
+constexpr unsigned MostDownMs = 3000;
+constexpr unsigned LeastPauseMs = 300;
+constexpr unsigned MostPauseMs = 1500;
+
+const std::vector<std::string> Entries{"entry-1", "entry-2", "entry-3"};
+const std::vector<std::string> Endpoints{"endpoint-1", "endpoint-2", "endpoint-3", "yard"};
+const std::vector<std::string> Links{"endpoint", "replica"};
+
+} // namespace
+
+FaultSeries::FaultSeries(Cluster &target, std::uint64_t seed) : cluster(target), random(seed)
+{ }
+
+std::string FaultSeries::drawn(const std::vector<std::string> &names)
+{
+    return names[this->random() % names.size()];
+}
+
+milliseconds FaultSeries::drawnMs(unsigned least, unsigned most)
+{
+    return milliseconds(least + this->random() % (most - least));
+}
+
+void FaultSeries::note(const std::string &what)
+{
+    const auto at = std::chrono::duration_cast<milliseconds>(Clock::now() - this->start);
+    this->told += std::to_string(at.count()) + " ms: " + what + "\n";
+}
+
+milliseconds FaultSeries::step()
+{
+    this->healDue(Clock::now());
+    const bool isEntryDown = std::any_of(Entries.begin(), Entries.end(), [this](const std::string &name) {
+        return this->active.contains(name);
+    });
+    switch (this->random() % 4) {
+    case 0: {
+        const std::string name = this->drawn(Entries);
+        if (!isEntryDown) {
+            this->harmProcess(name);
+        }
+        break;
+    }
+    case 1:
+        this->harmLinks(this->drawn(Links));
+        break;
+    default:
+        this->harmProcess(this->drawn(Endpoints));
+    }
+    return this->drawnMs(LeastPauseMs, MostPauseMs);
+}
+
+void FaultSeries::harmProcess(const std::string &name)
+{
+    const auto kind = this->random() % 3;
+    const milliseconds down = this->drawnMs(LeastDownMs, MostDownMs);
+    if (this->active.contains(name)) {
+        return;
+    }
+    Process &process = this->cluster.process(name);
+    std::function<void()> heal = [this, name] {
+        this->note(name + " starts again");
+        this->cluster.restart(name);
+    };
+    if (kind == 0) {
+        this->note(name + " is killed");
+        process.kill();
+    } else if (kind == 1) {
+        this->note(name + " is frozen");
+        process.signal(SIGSTOP);
+        heal = [this, name] {
+            this->note(name + " goes on");
+            this->cluster.process(name).signal(SIGCONT);
+        };
+    } else {
+        this->note(name + " is asked to end");
+        process.signal(SIGTERM);
+        heal = [this, name] {
+            this->cluster.process(name).waitExit(StopGrace);
+            this->note(name + " starts again");
+            this->cluster.restart(name);
+        };
+    }
+    this->active[name] = {.until = Clock::now() + down, .heal = std::move(heal)};
+}
+
+void FaultSeries::harmLinks(const std::string &before)
+{
+    const std::string command = this->drawn({"silence", "cut", "block"});
+    const milliseconds blocked = this->drawnMs(LeastDownMs, MostDownMs / 2);
+    if (this->active.contains(before)) {
+        return;
+    }
+    this->note("connections to each " + before + ": " + command);
+    this->cluster.relays(before, command);
+    if (command != "block") {
+        return;
+    }
+    this->active[before] = {.until = Clock::now() + blocked, .heal = [this, before] {
+                                this->note("connections to each " + before + ": open");
+                                this->cluster.relays(before, "open");
+                            }};
+}
+
+void FaultSeries::healDue(Clock::time_point now)
+{
+    for (auto one = this->active.begin(); one != this->active.end();) {
+        if (one->second.until > now) {
+            ++one;
+            continue;
+        }
+        one->second.heal();
+        one = this->active.erase(one);
+    }
+}
+
+void FaultSeries::healAll()
+{
+    this->healDue(Clock::time_point::max());
+}
+
+const std::string &FaultSeries::story() const
+{
+    return this->told;
+}
+
+} // namespace Apricothead::Test
--- a/test/raft.cpp
+++ b/test/raft.cpp
@@ -248,10 +248,14 @@
 BOOST_AUTO_TEST_CASE(aReplicaThatHasJustStartedStandsEarly)
 {
     constexpr unsigned FirstTicks = 3;
-    Raft core({.self = "a", .electionTicks = ElectionTicks, .firstElectionTicks = FirstTicks, .heartbeatTicks = 2, .random =
-                                                                                                                       [] {
-                                                                                                                           return 0;
-                                                                                                                       }},
+    Raft core({.self = "a",
+               .electionTicks = ElectionTicks,
+               .firstElectionTicks = FirstTicks,
+               .heartbeatTicks = 2,
+               .random =
+                   [] {
+                       return 0;
+                   }},
               diskOf(membershipOf({"a", "b", "c"}), 3));
     for (unsigned tick = 0; tick + 1 < FirstTicks; ++tick) {
         core.tick();
