A lease decides whom a gateway denies: test with a leader that confirms and falls silent

Change: test gatewaylease: 401 and 404 only under a lease, 503 with a time to come back without one, open routes served all the while, a key that was taken away while the gateway was cut off runs nothing, and a gateway without a plan denies nothing. The tests' dialect moved into a header that both use.

--- a/test/forwardrun.cpp
+++ b/test/forwardrun.cpp
@@ -4,6 +4,7 @@
 #include "recordedreply.h"
 #include "scriptedendpoint.h"
 #include "support/Wait.h"
+#include "testdialect.h"
 #include "unreadoutput.h"
 
 #include <Apricothead/Gateway>
@@ -23,42 +24,6 @@
 
 constexpr milliseconds Patience{8000};
 
-/** A dialect of short field names. */
-GatewayDialect testDialect()
-{
-    return {
-        .encode =
-            [](const ForwardRequest &request, const DispatchTerms &terms) {
-                HttpHeaders headers{{"id", request.id}, {"to", terms.endpoint}, {"left", std::to_string(terms.leftMs)}};
-                if (!terms.lastEventId.empty()) {
-                    headers["after"] = terms.lastEventId;
-                }
-                if (!terms.model.empty()) {
-                    headers["model"] = terms.model;
-                }
-                return headers;
-            },
-        .readHead =
-            [](unsigned status, const HttpHeaders &headers) {
-                const auto field = [&headers](const char *name) {
-                    const auto found = headers.find(name);
-                    return found == headers.end() ? std::string() : found->second;
-                };
-                EndpointAnswerHead head{
-                    .status = status,
-                    .isNotRun = headers.contains("not-run"),
-                    .requestId = field("id"),
-                    .isSigned = headers.contains("signed"),
-                    .isEncoded = headers.contains("content-encoding"),
-                };
-                if (headers.contains("sure")) {
-                    head.confidence = std::stoi(field("sure"));
-                }
-                return head;
-            },
-    };
-}
-
 Wire::ServicePlan testPlan(Wire::RepeatRule repeat, unsigned attempts, std::uint64_t timeoutMs)
 {
     Wire::ServicePlan plan;
--- /dev/null
+++ b/test/gatewaylease.cpp
@@ -0,0 +1,217 @@
+#define BOOST_TEST_MODULE gatewaylease
+#include "main.h"
+
+#include "scriptedendpoint.h"
+#include "support/Wait.h"
+#include "testdialect.h"
+
+#include <Apricothead/Gateway>
+#include <Apricothead/Transport>
+
+using namespace Apricothead;
+using namespace Apricothead::Test;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** A lease is good for this less 0.8 s. */
+constexpr milliseconds Revocation{2000};
+
+void addRoute(Wire::ServicePlan &plan, const std::string &prefix, bool isOpen)
+{
+    Wire::PlanRoute *route = plan.add_routes();
+    route->set_name(prefix);
+    route->set_host("host");
+    route->set_path_prefix(prefix);
+    route->set_repeat(Wire::REPEAT_RULE_REPEATABLE);
+    route->set_timeout_ms(2000);
+    route->set_objective_ms(500);
+    route->set_max_attempts(2);
+    route->set_open(isOpen);
+    route->add_services()->set_service("yard");
+    route->mutable_services(0)->set_weight(1);
+}
+
+Wire::ServingState stateOf(std::uint64_t revision, const std::vector<std::string> &keys)
+{
+    Wire::ServingState state;
+    state.set_number(revision);
+    Wire::ServicePlan &plan = *state.mutable_plan();
+    plan.set_revision(revision);
+    plan.add_services()->set_name("yard");
+    addRoute(plan, "/keyed/", false);
+    addRoute(plan, "/open/", true);
+    Wire::PlanOrganisation *organisation = plan.add_organisations();
+    organisation->set_name("creek");
+    for (const std::string &key : keys) {
+        organisation->add_keys(key);
+    }
+    return state;
+}
+
+std::string freeAddress()
+{
+    EventLoop loop;
+    const HttpServer server(loop, {.address = "127.0.0.1:0", .onRequest = [](const HttpRequest &, const std::shared_ptr<HttpReply> &) {}});
+    return server.boundAddress();
+}
+
+/** A leader that gives a gateway its state, and confirms it as long as it may. */
+struct ScriptedLeader {
+    explicit ScriptedLeader(EventLoop &loop)
+        : router(loop, RouterOptions{.address = "127.0.0.1:0", .onMessage = [this](const PeerId &peer, std::string_view bytes) {
+                                         this->take(peer, bytes);
+                                     }})
+    { }
+
+    void take(const PeerId &peer, std::string_view bytes)
+    {
+        Wire::Envelope message;
+        if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || !message.has_heartbeat() || !this->confirms) {
+            return;
+        }
+        Wire::Envelope reply;
+        reply.set_group("main");
+        Wire::ClusterUpdate &update = *reply.mutable_update();
+        if (message.heartbeat().serving_number() < this->state.number()) {
+            *update.mutable_serving() = this->state;
+        }
+        *update.add_announcements() = this->endpoint;
+        update.set_lease_round(message.heartbeat().lease_round());
+        update.set_serving_number(this->state.number());
+        update.set_gateways(1);
+        this->router.send(peer, reply.SerializeAsString());
+    }
+
+    Wire::ServingState state = stateOf(1, {"one", "two"});
+    Wire::EndpointAnnouncement endpoint;
+    bool confirms = true;
+    Router router;
+};
+
+struct World {
+    World()
+        : endpoint([](ScriptedConnection &connection, const std::string &head) {
+            connection.send("HTTP/1.1 200 OK\r\nid: " + headerOf(head, "id") + "\r\nsigned: yes\r\ncontent-length: 0\r\n\r\n");
+        })
+        , leader(loop)
+        , client(loop)
+    {
+        this->leader.endpoint.set_endpoint("e-1");
+        this->leader.endpoint.set_service("yard");
+        this->leader.endpoint.set_address(this->endpoint.address());
+        this->leader.endpoint.set_state(Wire::ANNOUNCED_STATE_READY);
+        this->leader.endpoint.set_born_ms(1);
+        this->settings.process = "gateway";
+        this->settings.seeds = {this->leader.router.boundAddress()};
+        this->settings.gateway = GatewaySettings{.callerAddress = freeAddress(), .readyAddress = freeAddress(), .revocation = Revocation};
+        this->gateway = std::make_unique<GatewayTask>(this->loop, GatewayTaskOptions{.settings = this->settings, .dialect = testDialect()});
+        this->gateway->start();
+    }
+
+    unsigned get(const std::string &address, const std::string &path, const std::string &key, HttpHeaders *headers = nullptr)
+    {
+        bool isDone = false;
+        unsigned status = 0;
+        const auto call = this->client.start({
+            .url = "http://" + address + path,
+            .headers = {{"id", "r-" + std::to_string(++this->requests)}, {"key", key}},
+            .onHead =
+                [&](unsigned, const HttpHeaders &received) {
+                    if (headers != nullptr) {
+                        *headers = received;
+                    }
+                },
+            .onDone =
+                [&](const HttpResult &result) {
+                    status = result.status;
+                    isDone = true;
+                },
+        });
+        BOOST_TEST(runUntil(this->loop, [&isDone] {
+            return isDone;
+        }));
+        return status;
+    }
+
+    unsigned ask(const std::string &path, const std::string &key, HttpHeaders *headers = nullptr)
+    {
+        return this->get(this->settings.gateway->callerAddress, path, key, headers);
+    }
+
+    void runFor(milliseconds time)
+    {
+        const std::uint64_t end = this->loop.nowMs() + static_cast<std::uint64_t>(time.count());
+        runUntil(this->loop, [this, end] {
+            return this->loop.nowMs() >= end;
+        });
+    }
+
+    /** Gives the gateway time for its first heartbeats, or for its lease to run out. */
+    void confirm(bool confirms)
+    {
+        this->leader.confirms = confirms;
+        this->runFor(confirms ? milliseconds(1000) : Revocation);
+    }
+
+    bool isReady()
+    {
+        return this->get(this->settings.gateway->readyAddress, "/ready", {}) == 200;
+    }
+
+    EventLoop loop;
+    ScriptedEndpoint endpoint;
+    ScriptedLeader leader;
+    HttpClient client;
+    Settings settings;
+    std::unique_ptr<GatewayTask> gateway;
+    unsigned requests = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(callersAreDeniedOnlyUnderALease, World)
+{
+    this->confirm(true);
+    BOOST_TEST(this->isReady());
+    BOOST_TEST(this->ask("/keyed/x", "one") == 200U);
+    BOOST_TEST(this->ask("/keyed/x", "three") == 401U);
+    BOOST_TEST(this->ask("/none/x", "one") == 404U);
+
+    // Cut off: a newer plan may know what this one does not, and may have taken away what it does.
+    this->confirm(false);
+    BOOST_TEST(!this->isReady());
+    HttpHeaders headers;
+    BOOST_TEST(this->ask("/keyed/x", "one", &headers) == 503U);
+    BOOST_TEST(headers.contains("retry-after"));
+    BOOST_TEST(this->ask("/keyed/x", "three") == 503U);
+    BOOST_TEST(this->ask("/none/x", "one") == 503U);
+    BOOST_TEST(this->ask("/open/x", {}) == 200U);
+
+    this->confirm(true);
+    BOOST_TEST(this->ask("/keyed/x", "one") == 200U);
+}
+
+BOOST_FIXTURE_TEST_CASE(keyThatWasTakenAwayIsRefusedWhereverTheGatewayStands, World)
+{
+    this->confirm(true);
+    BOOST_TEST(this->ask("/keyed/x", "two") == 200U);
+    // The key goes while the gateway is cut off: it runs nothing for it once the bound on revocation is over.
+    this->leader.state = stateOf(2, {"one"});
+    this->confirm(false);
+    const std::size_t before = this->endpoint.requests().size();
+    BOOST_TEST(this->ask("/keyed/x", "two") == 503U);
+    BOOST_TEST(this->endpoint.requests().size() == before);
+    this->confirm(true);
+    BOOST_TEST(this->ask("/keyed/x", "two") == 401U);
+    BOOST_TEST(this->ask("/keyed/x", "one") == 200U);
+    BOOST_TEST(this->endpoint.requests().size() == before + 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(gatewayThatKnowsNoPlanDeniesNothing, World)
+{
+    this->leader.confirms = false;
+    BOOST_TEST(!this->isReady());
+    BOOST_TEST(this->ask("/none/x", "three") == 503U);
+    BOOST_TEST(this->endpoint.requests().empty());
+}
--- /dev/null
+++ b/test/testdialect.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <Apricothead/Gateway>
+
+#include <optional>
+#include <string>
+
+namespace Apricothead::Test {
+
+/** A dialect of short field names. */
+inline GatewayDialect testDialect()
+{
+    return {
+        .decode = [](HttpRequest received) -> std::optional<ForwardRequest> {
+            // A caller of little patience is hardly held while nothing is certain.
+            constexpr std::uint64_t PatienceMs = 400;
+            return ForwardRequest{
+                .id = received.headers["id"],
+                .host = "host",
+                .method = received.method,
+                .target = received.path,
+                .path = received.path,
+                .patienceMs = PatienceMs,
+                .key = received.headers["key"],
+            };
+        },
+        .encode =
+            [](const ForwardRequest &request, const DispatchTerms &terms) {
+                HttpHeaders headers{{"id", request.id}, {"to", terms.endpoint}, {"left", std::to_string(terms.leftMs)}};
+                if (!terms.lastEventId.empty()) {
+                    headers["after"] = terms.lastEventId;
+                }
+                if (!terms.model.empty()) {
+                    headers["model"] = terms.model;
+                }
+                return headers;
+            },
+        .readHead =
+            [](unsigned status, const HttpHeaders &headers) {
+                const auto field = [&headers](const char *name) {
+                    const auto found = headers.find(name);
+                    return found == headers.end() ? std::string() : found->second;
+                };
+                EndpointAnswerHead head{
+                    .status = status,
+                    .isNotRun = headers.contains("not-run"),
+                    .requestId = field("id"),
+                    .isSigned = headers.contains("signed"),
+                    .isEncoded = headers.contains("content-encoding"),
+                };
+                if (headers.contains("sure")) {
+                    head.confidence = std::stoi(field("sure"));
+                }
+                return head;
+            },
+        .readyPath = "/ready",
+    };
+}
+
+} // namespace Apricothead::Test
