--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -34,7 +34,7 @@
     /** \returns a line for each promise that is broken */
     std::string step()
     {
-        const std::string read = this->readBack();
+        std::string read = this->readBack();
         Wire::ConfigurationChange change;
         change.mutable_put_organisation()->set_id("soak-" + std::to_string(++this->number));
         if (this->administrator.change(change).empty()) {
