Gateways tell each other which prompts they sent where

Change: work told to other gateways names the prompts sent in the last 700 ms. Each gateway keeps, for each engine, what its memory holds in order of use (PrefixMemory, 350,000 tokens). The home reads only what nobody holds, and a prompt that has to be read counts twice, as it delays the engine's streams.

The test promptsOfOtherGatewaysAreKnownToBeRead fails when what others sent isn't taken in.

--- a/Apricothead/src/Coordination/Replica/ServingFeed.cpp
+++ b/Apricothead/src/Coordination/Replica/ServingFeed.cpp
@@ -253,6 +253,8 @@
             sum.set_endpoint(load.endpoint());
             sum.set_awaiting_ms(sum.awaiting_ms() + load.awaiting_ms());
             sum.set_running(sum.running() + load.running());
+            sum.mutable_prefixes()->MergeFrom(load.prefixes());
+            sum.mutable_prefix_tokens()->MergeFrom(load.prefix_tokens());
         }
     }
     for (auto &[endpoint, sum] : sums) {
--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -44,6 +44,17 @@
     return total;
 }
 
+/** \returns tokens of the parts that a prompt begins with and that are all \a held */
+template <class Held>
+std::uint64_t leadingTokens(const EndpointQuestion &question, const std::vector<std::uint64_t> &chain, const Held &held)
+{
+    std::uint64_t tokens = 0;
+    for (std::size_t index = 0; index < chain.size() && held(chain[index]); ++index) {
+        tokens += question.prompt[index].tokens;
+    }
+    return tokens;
+}
+
 bool isFailure(AttemptEnd end)
 {
     return end == AttemptEnd::Failed || end == AttemptEnd::Broken || end == AttemptEnd::Unreachable;
@@ -59,17 +70,24 @@
 DirectEndpoints::DirectEndpoints(DirectEndpointsOptions given) : options(std::move(given))
 { }
 
-std::vector<Wire::EndpointLoad> DirectEndpoints::loads() const
+std::vector<Wire::EndpointLoad> DirectEndpoints::loads(std::uint64_t nowMs)
 {
     std::vector<Wire::EndpointLoad> listed;
-    for (const auto &[name, endpoint] : this->known) {
-        if (endpoint.running == 0) {
+    for (auto &[name, endpoint] : this->known) {
+        while (!endpoint.sentPrefixes.empty() && endpoint.sentPrefixes.front().atMs + this->options.toldMs < nowMs) {
+            endpoint.sentPrefixes.pop_front();
+        }
+        if (endpoint.running == 0 && endpoint.sentPrefixes.empty()) {
             continue;
         }
         Wire::EndpointLoad &load = listed.emplace_back();
         load.set_endpoint(name);
         load.set_awaiting_ms(static_cast<std::uint32_t>(endpoint.awaitingMs));
         load.set_running(static_cast<std::uint32_t>(endpoint.running));
+        for (const SentPrefix &sent : endpoint.sentPrefixes) {
+            load.add_prefixes(sent.prefix);
+            load.add_prefix_tokens(static_cast<std::uint32_t>(sent.tokens));
+        }
     }
     return listed;
 }
@@ -82,13 +100,25 @@
     }
     for (const Wire::EndpointLoad &load : loads) {
         const auto found = this->known.find(load.endpoint());
-        if (found != this->known.end()) {
-            found->second.othersAwaitingMs = load.awaiting_ms();
-            found->second.othersRunning = load.running();
+        if (found == this->known.end()) {
+            continue;
+        }
+        Known &endpoint = found->second;
+        endpoint.othersAwaitingMs = load.awaiting_ms();
+        endpoint.othersRunning = load.running();
+        for (int index = 0; index < std::min(load.prefixes_size(), load.prefix_tokens_size()); ++index) {
+            endpoint.memory.touch(load.prefixes(index), load.prefix_tokens(index));
         }
     }
 }
 
+DirectEndpoints::Known DirectEndpoints::emptyKnown() const
+{
+    Known empty;
+    empty.memory = PrefixMemory(this->options.memoryTokens);
+    return empty;
+}
+
 void DirectEndpoints::announce(const Wire::EndpointAnnouncement &announcement)
 {
     const auto found = this->known.find(announcement.endpoint());
@@ -97,9 +127,12 @@
     }
     if (found != this->known.end() && found->second.announcement.born_ms() < announcement.born_ms()) {
         // A new incarnation has no history; what still runs belongs to the former one.
-        found->second = Known{.running = found->second.running, .awaitingMs = found->second.awaitingMs};
+        Known renewed = this->emptyKnown();
+        renewed.running = found->second.running;
+        renewed.awaitingMs = found->second.awaitingMs;
+        found->second = std::move(renewed);
     }
-    Known &endpoint = this->known[announcement.endpoint()];
+    Known &endpoint = this->known.try_emplace(announcement.endpoint(), this->emptyKnown()).first->second;
     endpoint.announcement = announcement;
     const bool isOver = announcement.state() == Wire::ANNOUNCED_STATE_GONE && endpoint.running == 0;
     if (isOver) {
@@ -126,11 +159,10 @@
     return found;
 }
 
-std::string DirectEndpoints::homeOf(const std::vector<const Known *> &candidates, const EndpointQuestion &question) const
+const DirectEndpoints::Known *DirectEndpoints::homeOf(const std::vector<const Known *> &candidates, const std::vector<std::uint64_t> &chain) const
 {
-    const std::vector<std::uint64_t> chain = chainOf(question);
     if (chain.size() < 2) {
-        return {};
+        return nullptr;
     }
     // The last part is the request's own, or its session's: others share what stands before it.
     const std::uint64_t shared = chain[chain.size() - 2];
@@ -144,20 +176,21 @@
             highest = weight;
         }
     }
-    return home == nullptr ? std::string() : home->announcement.endpoint();
+    return home;
 }
 
-std::uint64_t DirectEndpoints::cachedTokens(const Known &endpoint, const EndpointQuestion &question) const
+DirectEndpoints::PromptState DirectEndpoints::promptState(const std::vector<const Known *> &candidates, const EndpointQuestion &question) const
 {
-    std::uint64_t cached = 0;
-    const std::vector<std::uint64_t> chain = chainOf(question);
-    for (std::size_t index = 0; index < chain.size(); ++index) {
-        if (!endpoint.prefixUsedMs.contains(chain[index])) {
-            break;
-        }
-        cached += question.prompt[index].tokens;
+    PromptState state;
+    state.chain = chainOf(question);
+    state.home = this->homeOf(candidates, state.chain);
+    for (const Known *endpoint : candidates) {
+        const PrefixMemory &memory = endpoint->memory;
+        state.heldTokens = std::max(state.heldTokens, leadingTokens(question, state.chain, [&memory](std::uint64_t prefix) {
+                                        return memory.holds(prefix);
+                                    }));
     }
-    return cached;
+    return state;
 }
 
 double DirectEndpoints::readingMs(const std::string &model, std::uint64_t tokens) const
@@ -169,17 +202,25 @@
     return static_cast<double>(tokens) / tokensPerMs;
 }
 
-DirectEndpoints::Scored DirectEndpoints::score(const Known &endpoint, const EndpointQuestion &question, const std::string &home) const
+DirectEndpoints::Scored DirectEndpoints::score(const Known &endpoint, const EndpointQuestion &question, const PromptState &state) const
 {
-    Scored scored{.endpoint = &endpoint, .isHome = endpoint.announcement.endpoint() == home};
-    const std::uint64_t remembered = this->cachedTokens(endpoint, question);
-    const std::uint64_t cached = scored.isHome ? std::max(remembered, sharedTokens(question.prompt)) : remembered;
+    Scored scored{.endpoint = &endpoint, .isHome = &endpoint == state.home};
+    const std::uint64_t cached = leadingTokens(question, state.chain, [&endpoint](std::uint64_t prefix) {
+        return endpoint.memory.holds(prefix);
+    });
     scored.uncachedTokens = allTokens(question.prompt) - cached;
-    scored.expectedMs = endpoint.awaitingMs + endpoint.othersAwaitingMs + this->readingMs(question.model, scored.uncachedTokens)
+    const double readingMs = this->readingMs(question.model, scored.uncachedTokens);
+    scored.expectedMs = endpoint.awaitingMs + endpoint.othersAwaitingMs + readingMs
         + this->options.perRunningMs * static_cast<double>(endpoint.running + endpoint.othersRunning);
     if (endpoint.announcement.availability_zone() != this->options.availabilityZone) {
         scored.expectedMs += this->options.otherZoneMs;
     }
+    scored.rankMs = scored.expectedMs + (this->options.readingWeight - 1) * readingMs;
+    // Nobody holds the shared parts: gateways that get such prompts at the same time agree on who reads them.
+    const std::uint64_t shared = sharedTokens(question.prompt);
+    if (scored.isHome && state.heldTokens < shared) {
+        scored.rankMs -= this->options.readingWeight * this->readingMs(question.model, shared - state.heldTokens);
+    }
     return scored;
 }
 
@@ -198,16 +239,16 @@
     if (candidates.empty()) {
         return std::nullopt;
     }
-    const std::string home = this->homeOf(candidates, question);
+    const PromptState state = this->promptState(candidates, question);
     Scored best;
     for (const Known *endpoint : candidates) {
-        const Scored scored = this->score(*endpoint, question, home);
-        if (best.endpoint == nullptr || scored.expectedMs < best.expectedMs) {
+        const Scored scored = this->score(*endpoint, question, state);
+        if (best.endpoint == nullptr || scored.rankMs < best.rankMs) {
             best = scored;
         }
     }
     if (reason.empty()) {
-        reason = best.isHome ? "home" : home.empty() ? "least-loaded" : "spill";
+        reason = best.isHome ? "home" : state.home == nullptr ? "least-loaded" : "spill";
     }
     const Wire::EndpointAnnouncement &announcement = best.endpoint->announcement;
     return EndpointChoice{
@@ -223,19 +264,15 @@
 
 void DirectEndpoints::started(const EndpointQuestion &question, const EndpointChoice &choice, std::uint64_t nowMs)
 {
-    Known &endpoint = this->known[choice.endpoint];
+    Known &endpoint = this->known.try_emplace(choice.endpoint, this->emptyKnown()).first->second;
     ++endpoint.running;
     endpoint.awaitingMs += this->readingMs(choice.model, choice.uncachedTokens);
-    for (const std::uint64_t prefix : chainOf(question)) {
-        endpoint.prefixUsedMs[prefix] = nowMs;
-    }
-    if (endpoint.prefixUsedMs.size() <= this->options.prefixes) {
-        return;
+    const std::vector<std::uint64_t> chain = chainOf(question);
+    // The beginning last, as it is the part that is used most.
+    for (std::size_t index = chain.size(); index-- > 0;) {
+        endpoint.memory.touch(chain[index], question.prompt[index].tokens);
+        endpoint.sentPrefixes.push_back({.prefix = chain[index], .tokens = question.prompt[index].tokens, .atMs = nowMs});
     }
-    const auto oldest = std::min_element(endpoint.prefixUsedMs.begin(), endpoint.prefixUsedMs.end(), [](const auto &left, const auto &right) {
-        return left.second < right.second;
-    });
-    endpoint.prefixUsedMs.erase(oldest);
 }
 
 void DirectEndpoints::answered(const EndpointChoice &choice, std::uint64_t tookMs, std::uint64_t nowMs)
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -1,14 +1,15 @@
 #pragma once
 
+#include "PrefixMemory.h"
 #include "VersionSplit.h"
 
 #include "../Protocol/Messages.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace Apricothead {
@@ -47,6 +48,7 @@
     std::string address;
     std::string version;
     double expectedMs = 0;
+    /** Tokens that the engine has to read. */
     std::uint64_t uncachedTokens = 0;
     std::string model;
     /** \c home, \c spill, \c least-loaded or \c last-resort. */
@@ -92,8 +94,12 @@
     std::uint64_t ejectMs = 2000;
     /** An answer to a request sent this much later shows that an earlier one hangs: priorities reorder less than that. */
     std::uint64_t overtakenMs = 800;
-    /** Shared prompts remembered for each endpoint: more than an engine's memory holds. */
-    std::size_t prefixes = 2048;
+    /** What reading a prompt counts in a comparison: besides the request itself it delays all streams of the engine. */
+    double readingWeight = 2;
+    /** Prompt tokens that an engine is thought to keep: less than any of the users' engines has memory for, as what runs takes some. */
+    std::uint64_t memoryTokens = 350'000;
+    /** What was sent lately is told to other gateways for this long: two heartbeats and their way. */
+    std::uint64_t toldMs = 700;
 };
 
 /** \class DirectEndpoints
@@ -103,7 +109,8 @@
  * Answers these loads: shared prompts (a rendezvous hash of the shared parts names a home, so gateways agree without a message, and the work
  * spills to others when waiting at home costs more than reading the prompt anew), endpoints that fail, hang or go dark (ejected from few
  * samples, never more than half of a service), uneven gateways (gateways tell each other by way of the leader what they have sent,
- * since one long prompt holds an engine up for seconds).
+ * since one long prompt holds an engine up for seconds). They also tell each other which
+ * prompts they sent where: each then knows what every engine holds, and a prompt that has spilled is not read a third time.
  */
 class DirectEndpoints
 {
@@ -111,8 +118,8 @@
     DirectEndpoints() = default;
     explicit DirectEndpoints(DirectEndpointsOptions options);
 
-    /** \returns own work at each endpoint that has some, for the other gateways */
-    std::vector<Wire::EndpointLoad> loads() const;
+    /** \returns own work at each endpoint that has some, and the prompts sent lately, for the other gateways */
+    std::vector<Wire::EndpointLoad> loads(std::uint64_t nowMs);
 
     /** What all other gateways have sent; endpoints that are not named have none of it. */
     void setOtherLoads(const std::vector<Wire::EndpointLoad> &loads);
@@ -139,6 +146,11 @@
     std::size_t readyCount(const std::string &service) const;
 
 private:
+    struct SentPrefix {
+        std::uint64_t prefix = 0;
+        std::uint64_t tokens = 0;
+        std::uint64_t atMs = 0;
+    };
     struct Known {
         Wire::EndpointAnnouncement announcement;
         std::uint64_t running = 0;
@@ -151,21 +163,34 @@
         unsigned ejections = 0;
         double failedShare = 0;
         std::uint64_t ejectedUntilMs = 0;
-        std::unordered_map<std::uint64_t, std::uint64_t> prefixUsedMs;
+        PrefixMemory memory;
+        /** Prompts sent since some hundred ms, the oldest first. */
+        std::deque<SentPrefix> sentPrefixes;
         /** When the latest request was sent that has been answered, by model. */
         std::map<std::string, std::uint64_t> answeredSentMs;
     };
     struct Scored {
         const Known *endpoint = nullptr;
+        /** What is compared: \c expectedMs, less for a home that reads a prompt for all gateways. */
+        double rankMs = 0;
         double expectedMs = 0;
         std::uint64_t uncachedTokens = 0;
         bool isHome = false;
     };
-    Scored score(const Known &endpoint, const EndpointQuestion &question, const std::string &home) const;
-    std::string homeOf(const std::vector<const Known *> &usable, const EndpointQuestion &question) const;
+    /** What the candidates of one question have in common. */
+    struct PromptState {
+        std::vector<std::uint64_t> chain;
+        /** Null when the prompt has no shared part. */
+        const Known *home = nullptr;
+        /** Most of the prompt that any candidate holds or is about to read. */
+        std::uint64_t heldTokens = 0;
+    };
+    PromptState promptState(const std::vector<const Known *> &candidates, const EndpointQuestion &question) const;
+    Scored score(const Known &endpoint, const EndpointQuestion &question, const PromptState &state) const;
+    const Known *homeOf(const std::vector<const Known *> &candidates, const std::vector<std::uint64_t> &chain) const;
     std::vector<const Known *> usable(const EndpointQuestion &question, bool wanted, bool ejectedToo, std::uint64_t nowMs) const;
     double readingMs(const std::string &model, std::uint64_t tokens) const;
-    std::uint64_t cachedTokens(const Known &endpoint, const EndpointQuestion &question) const;
+    Known emptyKnown() const;
     void eject(Known &endpoint, std::uint64_t nowMs) const;
     bool mayEject(const std::string &service, std::uint64_t nowMs) const;
 
--- /dev/null
+++ b/Apricothead/src/Decisions/PrefixMemory.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+
+namespace Apricothead {
+
+/** \class PrefixMemory
+ * \ingroup Decisions_Module
+ * \brief What an engine's cache is thought to hold: the prompts sent to it, the least recently used left out.
+ *
+ * Answers this load: shared prompts whose readings compete for less memory than they need. An engine keeps some dozens of long prompts, so
+ * one that was sent long ago has been read for nothing.
+ */
+class PrefixMemory
+{
+public:
+    explicit PrefixMemory(std::uint64_t capacityTokens = 0);
+    PrefixMemory(PrefixMemory &&) = default;
+    PrefixMemory &operator=(PrefixMemory &&) = default;
+
+    /** A prompt that begins with \a prefix is sent; its last part adds \a tokens to the part before. */
+    void touch(std::uint64_t prefix, std::uint64_t tokens);
+
+    /** \returns true also for what is still being read */
+    bool holds(std::uint64_t prefix) const;
+
+    std::size_t size() const;
+
+private:
+    struct Part {
+        std::uint64_t prefix = 0;
+        std::uint64_t tokens = 0;
+    };
+    std::uint64_t capacity;
+    std::uint64_t total = 0;
+    /** The most recently used first. */
+    std::list<Part> parts;
+    std::unordered_map<std::uint64_t, std::list<Part>::iterator> places;
+};
+
+} // namespace Apricothead
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -207,6 +207,7 @@
              {"model", asked.model},
              {"reason", choice.reason},
              {"expectedMs", choice.expectedMs},
+             {"uncachedTokens", choice.uncachedTokens},
              {"attempt", static_cast<std::uint64_t>(this->sends)},
              {"leftMs", this->leftMs()},
              {"revision", this->plan->revision()},
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -138,7 +138,7 @@
                                                                },
                                                            .ownLoads =
                                                                [this] {
-                                                                   return this->context.endpoints.loads();
+                                                                   return this->context.endpoints.loads(this->context.loop.nowMs());
                                                                },
                                                            .onLoads =
                                                                [this](const std::vector<Wire::EndpointLoad> &loads) {
--- a/test/directendpoints.cpp
+++ b/test/directendpoints.cpp
@@ -135,7 +135,7 @@
     }
     // The other gateway keeps to the home until it hears of the work there.
     BOOST_TEST(other.choose(question(), 0)->endpoint == home->endpoint);
-    other.setOtherLoads(one.loads());
+    other.setOtherLoads(one.loads(1000));
     BOOST_TEST(other.choose(question(), 0)->endpoint != home->endpoint);
     other.setOtherLoads({});
     BOOST_TEST(other.choose(question(), 0)->endpoint == home->endpoint);
@@ -156,3 +156,47 @@
     asked.versions.mayFallBack = true;
     BOOST_TEST(endpoints.choose(asked, 0)->version == "v2");
 }
+
+// ---- what one engine has read, another need not ----
+
+BOOST_AUTO_TEST_CASE(promptsOfOtherGatewaysAreKnownToBeRead)
+{
+    DirectEndpoints one = pool(6);
+    DirectEndpoints other = pool(6);
+    const auto home = one.choose(question(), 0);
+    EndpointQuestion asked = question();
+    asked.avoid = {home->endpoint};
+    const auto spilled = one.choose(asked, 0);
+    one.started(asked, *spilled, 0);
+    one.answered(*spilled, 200, 200);
+    one.ended(*spilled, AttemptEnd::Whole, true, 300);
+    // The prompt was read elsewhere than at its home: a gateway that did not send it goes where it is held.
+    BOOST_TEST(other.choose(question(), 400)->endpoint == home->endpoint);
+    other.setOtherLoads(one.loads(400));
+    BOOST_TEST(other.choose(question(), 400)->endpoint == spilled->endpoint);
+    BOOST_TEST(other.choose(question(), 400)->uncachedTokens == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(promptsAreToldForSomeHeartbeatsOnly)
+{
+    DirectEndpoints endpoints = pool(2);
+    const auto choice = endpoints.choose(question(), 0);
+    endpoints.started(question(), *choice, 0);
+    endpoints.ended(*choice, AttemptEnd::Whole, false, 100);
+    BOOST_REQUIRE(endpoints.loads(600).size() == 1U);
+    BOOST_TEST(endpoints.loads(600).front().prefixes_size() == 2);
+    BOOST_TEST(endpoints.loads(800).empty());
+}
+
+BOOST_AUTO_TEST_CASE(anEngineIsThoughtToHoldOnlyWhatFitsIntoIt)
+{
+    PrefixMemory memory(30'000);
+    memory.touch(1, 10'000);
+    memory.touch(2, 10'000);
+    memory.touch(1, 10'000);
+    memory.touch(3, 15'000);
+    BOOST_TEST(memory.holds(1));
+    BOOST_TEST(!memory.holds(2));
+    BOOST_TEST(memory.holds(3));
+    BOOST_TEST(memory.size() == 2U);
+}
