Decisions of a gateway cost no more with many endpoints

Cause: each decision went through all known endpoints by name, hashed the prompt for each of them, and ranked all for the home: about a hundred times the work at 1,600 endpoints as at 18.

Ruled out: keeping only a sample; prompts would miss the engines that hold them.

Change: ready endpoints are grouped by service and version. The home comes from a ring (EndpointRing); engines that hold a prompt from an index that their memories keep; more than 64 endpoints are sampled (24 of them) beside home and holders.

--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -17,6 +17,12 @@
 constexpr double FastestTokensPerMs = 200;
 /** An endpoint ejected again and again stays away for at most this many times the first time. */
 constexpr unsigned MostEjectionDoublings = 2;
+/** Up to this many endpoints are all scored: more than a site of the users has of one version. Among more a sample is drawn. */
+constexpr std::size_t ScoreAllLimit = 64;
+/** The least loaded of this many is among the best twentieth most of the time. */
+constexpr std::size_t SampleSize = 24;
+/** A prompt that more engines hold than this has enough of them. */
+constexpr std::size_t MostHolders = 8;
 
 std::uint64_t hashOf(std::uint64_t seed, const void *data, std::size_t size)
 {
@@ -44,12 +50,11 @@
     return total;
 }
 
-/** \returns tokens of the parts that a prompt begins with and that are all \a held */
-template <class Held>
-std::uint64_t leadingTokens(const EndpointQuestion &question, const std::vector<std::uint64_t> &chain, const Held &held)
+/** \returns tokens of the parts that the prompt begins with and that are all in \a memory */
+std::uint64_t heldTokens(const PrefixMemory &memory, const EndpointQuestion &question, const std::vector<std::uint64_t> &chain)
 {
     std::uint64_t tokens = 0;
-    for (std::size_t index = 0; index < chain.size() && held(chain[index]); ++index) {
+    for (std::size_t index = 0; index < chain.size() && memory.holds(chain[index]); ++index) {
         tokens += question.prompt[index].tokens;
     }
     return tokens;
@@ -112,11 +117,49 @@
     }
 }
 
-DirectEndpoints::Known DirectEndpoints::emptyKnown() const
+DirectEndpoints::Known::Known(DirectEndpoints &owner)
+    : memory(
+        owner.options.memoryTokens,
+        [this, &owner](std::uint64_t prefix) {
+            owner.holders[prefix].push_back(this);
+        },
+        [this, &owner](std::uint64_t prefix) {
+            const auto held = owner.holders.find(prefix);
+            std::erase(held->second, this);
+            if (held->second.empty()) {
+                owner.holders.erase(held);
+            }
+        })
+{ }
+
+DirectEndpoints::Known &DirectEndpoints::knownOf(const std::string &endpoint)
+{
+    return this->known.try_emplace(endpoint, *this).first->second;
+}
+
+void DirectEndpoints::forget(const std::string &endpoint)
 {
-    Known empty;
-    empty.memory = PrefixMemory(this->options.memoryTokens);
-    return empty;
+    const auto found = this->known.find(endpoint);
+    found->second.memory.clear();
+    this->known.erase(found);
+}
+
+void DirectEndpoints::group(const std::string &service)
+{
+    std::map<std::string, Group> &versions = this->groups[service];
+    versions.clear();
+    std::map<std::string, std::vector<std::string>> names;
+    for (const auto &[name, endpoint] : this->known) {
+        const Wire::EndpointAnnouncement &announcement = endpoint.announcement;
+        if (announcement.state() != Wire::ANNOUNCED_STATE_READY || announcement.service() != service) {
+            continue;
+        }
+        versions[announcement.version()].members.push_back(&endpoint);
+        names[announcement.version()].push_back(name);
+    }
+    for (auto &[version, group] : versions) {
+        group.ring = EndpointRing(names[version]);
+    }
 }
 
 void DirectEndpoints::announce(const Wire::EndpointAnnouncement &announcement)
@@ -127,70 +170,110 @@
     }
     if (found != this->known.end() && found->second.announcement.born_ms() < announcement.born_ms()) {
         // A new incarnation has no history; what still runs belongs to the former one.
-        Known renewed = this->emptyKnown();
+        Condition renewed;
         renewed.running = found->second.running;
         renewed.awaitingMs = found->second.awaitingMs;
-        found->second = std::move(renewed);
+        static_cast<Condition &>(found->second) = std::move(renewed);
+        found->second.memory.clear();
     }
-    Known &endpoint = this->known.try_emplace(announcement.endpoint(), this->emptyKnown()).first->second;
+    Known &endpoint = this->knownOf(announcement.endpoint());
+    const std::string formerService = endpoint.announcement.service();
     endpoint.announcement = announcement;
     const bool isOver = announcement.state() == Wire::ANNOUNCED_STATE_GONE && endpoint.running == 0;
     if (isOver) {
-        this->known.erase(announcement.endpoint());
+        this->forget(announcement.endpoint());
+    }
+    this->group(announcement.service());
+    if (!formerService.empty() && formerService != announcement.service()) {
+        this->group(formerService);
     }
 }
 
-std::vector<const DirectEndpoints::Known *> DirectEndpoints::usable(const EndpointQuestion &question, bool wanted, bool ejectedToo, std::uint64_t nowMs) const
+bool DirectEndpoints::mayTake(const Known &endpoint, const EndpointQuestion &question, bool ejectedToo, std::uint64_t nowMs) const
 {
-    std::vector<const Known *> found;
-    for (const auto &[name, endpoint] : this->known) {
-        const Wire::EndpointAnnouncement &announcement = endpoint.announcement;
-        if (announcement.state() != Wire::ANNOUNCED_STATE_READY || announcement.service() != question.service) {
-            continue;
-        }
-        if (question.versions.wants(announcement.version()) != wanted || (!ejectedToo && endpoint.ejectedUntilMs > nowMs)) {
-            continue;
+    if (!ejectedToo && endpoint.ejectedUntilMs > nowMs) {
+        return false;
+    }
+    return std::find(question.avoid.begin(), question.avoid.end(), endpoint.announcement.endpoint()) == question.avoid.end();
+}
+
+void DirectEndpoints::addSome(PromptState &state, const Group &group, const std::function<bool(const Known &)> &mayTake) const
+{
+    const bool isLarge = group.members.size() > ScoreAllLimit;
+    std::uniform_int_distribution<std::size_t> any(0, group.members.size() - 1);
+    for (std::size_t drawn = 0; isLarge && drawn < SampleSize; ++drawn) {
+        const Known &endpoint = *group.members[any(this->random)];
+        if (mayTake(endpoint)) {
+            state.candidates.push_back(&endpoint);
         }
-        if (std::find(question.avoid.begin(), question.avoid.end(), name) != question.avoid.end()) {
-            continue;
+    }
+    if (isLarge && !state.candidates.empty()) {
+        return;
+    }
+    for (const Known *endpoint : group.members) {
+        if (mayTake(*endpoint)) {
+            state.candidates.push_back(endpoint);
         }
-        found.push_back(&endpoint);
     }
-    return found;
 }
 
-const DirectEndpoints::Known *DirectEndpoints::homeOf(const std::vector<const Known *> &candidates, const std::vector<std::uint64_t> &chain) const
+DirectEndpoints::PromptState DirectEndpoints::candidates(const EndpointQuestion &question, bool wanted, bool ejectedToo, std::uint64_t nowMs) const
 {
-    if (chain.size() < 2) {
-        return nullptr;
-    }
-    // The last part is the request's own, or its session's: others share what stands before it.
-    const std::uint64_t shared = chain[chain.size() - 2];
-    const Known *home = nullptr;
-    std::uint64_t highest = 0;
-    for (const Known *endpoint : candidates) {
-        const std::string &name = endpoint->announcement.endpoint();
-        const std::uint64_t weight = hashOf(shared, name.data(), name.size());
-        if (home == nullptr || weight > highest) {
-            home = endpoint;
-            highest = weight;
+    PromptState state{.chain = chainOf(question)};
+    const auto versions = this->groups.find(question.service);
+    if (versions == this->groups.end()) {
+        return state;
+    }
+    const auto mayTake = [&](const Known &endpoint) {
+        return this->mayTake(endpoint, question, ejectedToo, nowMs);
+    };
+    bool isSampled = false;
+    for (const auto &[version, group] : versions->second) {
+        if (question.versions.wants(version) != wanted) {
+            continue;
         }
+        this->addSome(state, group, mayTake);
+        isSampled = isSampled || group.members.size() > ScoreAllLimit;
+        // The last part is the request's own, or its session's: others share what stands before it.
+        const bool isShared = state.home == nullptr && state.chain.size() > 1;
+        const std::optional<std::size_t> home = isShared ? group.ring.homeOf(state.chain[state.chain.size() - 2],
+                                                                             [&](std::size_t index) {
+                                                                                 return mayTake(*group.members[index]);
+                                                                             })
+                                                         : std::nullopt;
+        state.home = home ? group.members[*home] : state.home;
+    }
+    if (isSampled) {
+        this->addHolders(state, question, wanted, mayTake);
+    }
+    for (const Known *endpoint : state.candidates) {
+        state.heldTokens = std::max(state.heldTokens, heldTokens(endpoint->memory, question, state.chain));
     }
-    return home;
+    return state;
 }
 
-DirectEndpoints::PromptState DirectEndpoints::promptState(const std::vector<const Known *> &candidates, const EndpointQuestion &question) const
+void DirectEndpoints::addHolders(PromptState &state, const EndpointQuestion &question, bool wanted, const std::function<bool(const Known &)> &mayTake) const
 {
-    PromptState state;
-    state.chain = chainOf(question);
-    state.home = this->homeOf(candidates, state.chain);
-    for (const Known *endpoint : candidates) {
-        const PrefixMemory &memory = endpoint->memory;
-        state.heldTokens = std::max(state.heldTokens, leadingTokens(question, state.chain, [&memory](std::uint64_t prefix) {
-                                        return memory.holds(prefix);
-                                    }));
+    if (state.home != nullptr) {
+        state.candidates.push_back(state.home);
+    }
+    std::size_t added = 0;
+    // From the longest beginning to the shortest.
+    for (std::size_t index = state.chain.size(); index-- > 0 && added < MostHolders;) {
+        const auto held = this->holders.find(state.chain[index]);
+        if (held == this->holders.end()) {
+            continue;
+        }
+        for (const Known *endpoint : held->second) {
+            const Wire::EndpointAnnouncement &announcement = endpoint->announcement;
+            const bool isReady = announcement.state() == Wire::ANNOUNCED_STATE_READY && announcement.service() == question.service;
+            if (added == MostHolders || !isReady || question.versions.wants(announcement.version()) != wanted || !mayTake(*endpoint)) {
+                continue;
+            }
+            state.candidates.push_back(endpoint);
+            ++added;
+        }
     }
-    return state;
 }
 
 double DirectEndpoints::readingMs(const std::string &model, std::uint64_t tokens) const
@@ -205,9 +288,7 @@
 DirectEndpoints::Scored DirectEndpoints::score(const Known &endpoint, const EndpointQuestion &question, const PromptState &state) const
 {
     Scored scored{.endpoint = &endpoint, .isHome = &endpoint == state.home};
-    const std::uint64_t cached = leadingTokens(question, state.chain, [&endpoint](std::uint64_t prefix) {
-        return endpoint.memory.holds(prefix);
-    });
+    const std::uint64_t cached = heldTokens(endpoint.memory, question, state.chain);
     scored.uncachedTokens = allTokens(question.prompt) - cached;
     const double readingMs = this->readingMs(question.model, scored.uncachedTokens);
     scored.expectedMs = endpoint.awaitingMs + endpoint.othersAwaitingMs + readingMs
@@ -226,22 +307,21 @@
 
 std::optional<EndpointChoice> DirectEndpoints::choose(const EndpointQuestion &question, std::uint64_t nowMs) const
 {
-    std::vector<const Known *> candidates = this->usable(question, true, false, nowMs);
+    PromptState state = this->candidates(question, true, false, nowMs);
     std::string reason;
-    if (candidates.empty()) {
-        candidates = this->usable(question, true, true, nowMs);
+    if (state.candidates.empty()) {
+        state = this->candidates(question, true, true, nowMs);
         reason = "last-resort";
     }
-    if (candidates.empty() && question.versions.mayFallBack) {
-        candidates = this->usable(question, false, false, nowMs);
+    if (state.candidates.empty() && question.versions.mayFallBack) {
+        state = this->candidates(question, false, false, nowMs);
         reason = "other-version";
     }
-    if (candidates.empty()) {
+    if (state.candidates.empty()) {
         return std::nullopt;
     }
-    const PromptState state = this->promptState(candidates, question);
     Scored best;
-    for (const Known *endpoint : candidates) {
+    for (const Known *endpoint : state.candidates) {
         const Scored scored = this->score(*endpoint, question, state);
         if (best.endpoint == nullptr || scored.rankMs < best.rankMs) {
             best = scored;
@@ -264,7 +344,7 @@
 
 void DirectEndpoints::started(const EndpointQuestion &question, const EndpointChoice &choice, std::uint64_t nowMs)
 {
-    Known &endpoint = this->known.try_emplace(choice.endpoint, this->emptyKnown()).first->second;
+    Known &endpoint = this->knownOf(choice.endpoint);
     ++endpoint.running;
     endpoint.awaitingMs += this->readingMs(choice.model, choice.uncachedTokens);
     const std::vector<std::uint64_t> chain = chainOf(question);
@@ -345,7 +425,7 @@
     }
     const bool isOver = endpoint.announcement.state() == Wire::ANNOUNCED_STATE_GONE && endpoint.running == 0;
     if (isOver) {
-        this->known.erase(found);
+        this->forget(choice.endpoint);
     }
 }
 
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "EndpointRing.h"
 #include "PrefixMemory.h"
 #include "VersionSplit.h"
 
@@ -7,9 +8,12 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace Apricothead {
@@ -106,7 +110,7 @@
  * \ingroup Decisions_Module
  * \brief The endpoints that a gateway sends work to by itself: who they are, how they do, and which one is next.
  *
- * Answers these loads: shared prompts (a rendezvous hash of the shared parts names a home, so gateways agree without a message, and the work
+ * Answers these loads: shared prompts (a hash of the shared parts names a home on a ring, so gateways agree without a message, and the work
  * spills to others when waiting at home costs more than reading the prompt anew), endpoints that fail, hang or go dark (ejected from few
  * samples, never more than half of a service), uneven gateways (gateways tell each other by way of the leader what they have sent,
  * since one long prompt holds an engine up for seconds). They also tell each other which
@@ -115,8 +119,9 @@
 class DirectEndpoints
 {
 public:
-    DirectEndpoints() = default;
-    explicit DirectEndpoints(DirectEndpointsOptions options);
+    explicit DirectEndpoints(DirectEndpointsOptions options = {});
+    DirectEndpoints(const DirectEndpoints &) = delete;
+    DirectEndpoints &operator=(const DirectEndpoints &) = delete;
 
     /** \returns own work at each endpoint that has some, and the prompts sent lately, for the other gateways */
     std::vector<Wire::EndpointLoad> loads(std::uint64_t nowMs);
@@ -151,8 +156,8 @@
         std::uint64_t tokens = 0;
         std::uint64_t atMs = 0;
     };
-    struct Known {
-        Wire::EndpointAnnouncement announcement;
+    /** What this gateway learned of an incarnation of an endpoint. */
+    struct Condition {
         std::uint64_t running = 0;
         /** Time that prompts sent here and not answered yet take, in ms. */
         double awaitingMs = 0;
@@ -163,12 +168,21 @@
         unsigned ejections = 0;
         double failedShare = 0;
         std::uint64_t ejectedUntilMs = 0;
-        PrefixMemory memory;
         /** Prompts sent since some hundred ms, the oldest first. */
         std::deque<SentPrefix> sentPrefixes;
         /** When the latest request was sent that has been answered, by model. */
         std::map<std::string, std::uint64_t> answeredSentMs;
     };
+    struct Known : Condition {
+        explicit Known(DirectEndpoints &owner);
+        Wire::EndpointAnnouncement announcement;
+        PrefixMemory memory;
+    };
+    /** The ready endpoints of one service and version. */
+    struct Group {
+        std::vector<const Known *> members;
+        EndpointRing ring;
+    };
     struct Scored {
         const Known *endpoint = nullptr;
         /** What is compared: \c expectedMs, less for a home that reads a prompt for all gateways. */
@@ -184,13 +198,17 @@
         const Known *home = nullptr;
         /** Most of the prompt that any candidate holds or is about to read. */
         std::uint64_t heldTokens = 0;
+        std::vector<const Known *> candidates;
     };
-    PromptState promptState(const std::vector<const Known *> &candidates, const EndpointQuestion &question) const;
+    Known &knownOf(const std::string &endpoint);
+    void forget(const std::string &endpoint);
+    void group(const std::string &service);
+    bool mayTake(const Known &endpoint, const EndpointQuestion &question, bool ejectedToo, std::uint64_t nowMs) const;
+    PromptState candidates(const EndpointQuestion &question, bool wanted, bool ejectedToo, std::uint64_t nowMs) const;
+    void addSome(PromptState &state, const Group &group, const std::function<bool(const Known &)> &mayTake) const;
+    void addHolders(PromptState &state, const EndpointQuestion &question, bool wanted, const std::function<bool(const Known &)> &mayTake) const;
     Scored score(const Known &endpoint, const EndpointQuestion &question, const PromptState &state) const;
-    const Known *homeOf(const std::vector<const Known *> &candidates, const std::vector<std::uint64_t> &chain) const;
-    std::vector<const Known *> usable(const EndpointQuestion &question, bool wanted, bool ejectedToo, std::uint64_t nowMs) const;
     double readingMs(const std::string &model, std::uint64_t tokens) const;
-    Known emptyKnown() const;
     void eject(Known &endpoint, std::uint64_t nowMs) const;
     bool mayEject(const std::string &service, std::uint64_t nowMs) const;
 
@@ -201,6 +219,12 @@
         double tookMs = 0;
     };
     std::map<std::string, Pace> paces;
+    /** By service, then by version. */
+    std::map<std::string, std::map<std::string, Group>> groups;
+    /** Endpoints thought to hold a prompt, by its hash. */
+    std::unordered_map<std::uint64_t, std::vector<const Known *>> holders;
+    mutable std::minstd_rand random;
+    /** After what it changes when it goes. */
     std::map<std::string, Known> known;
 };
 
--- a/Apricothead/src/Decisions/PrefixMemory.cpp
+++ b/Apricothead/src/Decisions/PrefixMemory.cpp
@@ -1,10 +1,31 @@
 #include "PrefixMemory.h"
 
+#include <utility>
+
 namespace Apricothead {
 
-PrefixMemory::PrefixMemory(std::uint64_t capacityTokens) : capacity(capacityTokens)
+PrefixMemory::PrefixMemory(std::uint64_t capacityTokens, std::function<void(std::uint64_t)> held, std::function<void(std::uint64_t)> dropped)
+    : capacity(capacityTokens), onHeld(std::move(held)), onDropped(std::move(dropped))
 { }
 
+void PrefixMemory::dropOldest()
+{
+    const Part oldest = this->parts.back();
+    this->total -= oldest.tokens;
+    this->places.erase(oldest.prefix);
+    this->parts.pop_back();
+    if (this->onDropped) {
+        this->onDropped(oldest.prefix);
+    }
+}
+
+void PrefixMemory::clear()
+{
+    while (!this->parts.empty()) {
+        this->dropOldest();
+    }
+}
+
 void PrefixMemory::touch(std::uint64_t prefix, std::uint64_t tokens)
 {
     const auto found = this->places.find(prefix);
@@ -15,10 +36,11 @@
     this->parts.push_front({.prefix = prefix, .tokens = tokens});
     this->places.emplace(prefix, this->parts.begin());
     this->total += tokens;
+    if (this->onHeld) {
+        this->onHeld(prefix);
+    }
     while (this->total > this->capacity && !this->parts.empty()) {
-        this->total -= this->parts.back().tokens;
-        this->places.erase(this->parts.back().prefix);
-        this->parts.pop_back();
+        this->dropOldest();
     }
 }
 
--- a/Apricothead/src/Decisions/PrefixMemory.h
+++ b/Apricothead/src/Decisions/PrefixMemory.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <unordered_map>
 
@@ -17,9 +18,10 @@
 class PrefixMemory
 {
 public:
-    explicit PrefixMemory(std::uint64_t capacityTokens = 0);
-    PrefixMemory(PrefixMemory &&) = default;
-    PrefixMemory &operator=(PrefixMemory &&) = default;
+    /** \a onHeld and \a onDropped tell of prefixes that come and go. */
+    explicit PrefixMemory(std::uint64_t capacityTokens, std::function<void(std::uint64_t)> onHeld = {}, std::function<void(std::uint64_t)> onDropped = {});
+    PrefixMemory(const PrefixMemory &) = delete;
+    PrefixMemory &operator=(const PrefixMemory &) = delete;
 
     /** A prompt that begins with \a prefix is sent; its last part adds \a tokens to the part before. */
     void touch(std::uint64_t prefix, std::uint64_t tokens);
@@ -29,12 +31,19 @@
 
     std::size_t size() const;
 
+    /** Forgets everything. */
+    void clear();
+
 private:
     struct Part {
         std::uint64_t prefix = 0;
         std::uint64_t tokens = 0;
     };
+    void dropOldest();
+
     std::uint64_t capacity;
+    std::function<void(std::uint64_t)> onHeld;
+    std::function<void(std::uint64_t)> onDropped;
     std::uint64_t total = 0;
     /** The most recently used first. */
     std::list<Part> parts;
--- a/test/directendpoints.cpp
+++ b/test/directendpoints.cpp
@@ -21,14 +21,16 @@
     return made;
 }
 
-DirectEndpoints pool(unsigned count)
+class Pool : public DirectEndpoints
 {
-    DirectEndpoints endpoints;
-    for (unsigned number = 0; number < count; ++number) {
-        endpoints.announce(endpoint(std::to_string(number)));
+public:
+    explicit Pool(unsigned count)
+    {
+        for (unsigned number = 0; number < count; ++number) {
+            this->announce(endpoint(std::to_string(number)));
+        }
     }
-    return endpoints;
-}
+};
 
 EndpointQuestion question(std::uint64_t sharedPart = 1)
 {
@@ -39,8 +41,8 @@
 
 BOOST_AUTO_TEST_CASE(gatewaysAgreeOnAHomeWithoutAMessage)
 {
-    const DirectEndpoints one = pool(12);
-    const DirectEndpoints other = pool(12);
+    const Pool one(12);
+    const Pool other(12);
     std::set<std::string> homes;
     for (std::uint64_t part = 0; part < 50; ++part) {
         const auto choice = one.choose(question(part), 0);
@@ -53,7 +55,7 @@
 
 BOOST_AUTO_TEST_CASE(workSpillsOnlyWhenWaitingCostsMoreThanReading)
 {
-    DirectEndpoints endpoints = pool(4);
+    Pool endpoints(4);
     const auto home = endpoints.choose(question(), 0);
     endpoints.started(question(), *home, 0);
     BOOST_TEST(endpoints.choose(question(), 0)->endpoint == home->endpoint);
@@ -67,7 +69,7 @@
 
 BOOST_AUTO_TEST_CASE(leavingAndUnknownEndpointsGetNothing)
 {
-    DirectEndpoints endpoints = pool(1);
+    Pool endpoints(1);
     Wire::EndpointAnnouncement leaving = endpoint("0");
     leaving.set_state(Wire::ANNOUNCED_STATE_LEAVING);
     endpoints.announce(leaving);
@@ -79,7 +81,7 @@
 
 BOOST_AUTO_TEST_CASE(failingEndpointIsEjectedFromFewSamplesAndNeverMoreThanHalf)
 {
-    DirectEndpoints endpoints = pool(4);
+    Pool endpoints(4);
     std::set<std::string> failing;
     for (unsigned round = 0; round < 40; ++round) {
         const auto choice = endpoints.choose(question(round), 100);
@@ -102,7 +104,7 @@
 
 BOOST_AUTO_TEST_CASE(unreachableEndpointIsEjectedAtOnce)
 {
-    DirectEndpoints endpoints = pool(3);
+    Pool endpoints(3);
     const auto choice = endpoints.choose(question(), 0);
     endpoints.started(question(), *choice, 0);
     endpoints.ended(*choice, AttemptEnd::Unreachable, false, 0);
@@ -114,7 +116,7 @@
 
 BOOST_AUTO_TEST_CASE(hangingRequestIsKnownByLaterOnesThatWereAnswered)
 {
-    DirectEndpoints endpoints = pool(1);
+    Pool endpoints(1);
     const auto choice = endpoints.choose(question(), 1000);
     endpoints.started(question(), *choice, 1000);
     BOOST_TEST(!endpoints.isOvertaken(*choice, 1000));
@@ -127,8 +129,8 @@
 
 BOOST_AUTO_TEST_CASE(workOfOtherGatewaysIsCounted)
 {
-    DirectEndpoints one = pool(4);
-    DirectEndpoints other = pool(4);
+    Pool one(4);
+    Pool other(4);
     const auto home = one.choose(question(), 0);
     for (unsigned sent = 0; sent < 60; ++sent) {
         one.started(question(), *home, 0);
@@ -161,8 +163,8 @@
 
 BOOST_AUTO_TEST_CASE(promptsOfOtherGatewaysAreKnownToBeRead)
 {
-    DirectEndpoints one = pool(6);
-    DirectEndpoints other = pool(6);
+    Pool one(6);
+    Pool other(6);
     const auto home = one.choose(question(), 0);
     EndpointQuestion asked = question();
     asked.avoid = {home->endpoint};
@@ -179,7 +181,7 @@
 
 BOOST_AUTO_TEST_CASE(promptsAreToldForSomeHeartbeatsOnly)
 {
-    DirectEndpoints endpoints = pool(2);
+    Pool endpoints(2);
     const auto choice = endpoints.choose(question(), 0);
     endpoints.started(question(), *choice, 0);
     endpoints.ended(*choice, AttemptEnd::Whole, false, 100);
@@ -200,3 +202,61 @@
     BOOST_TEST(memory.holds(3));
     BOOST_TEST(memory.size() == 2U);
 }
+
+// ---- many endpoints ----
+
+BOOST_AUTO_TEST_CASE(amongManyEndpointsPromptsGoHomeAndThenWhereTheyAreHeld)
+{
+    Pool one(1600);
+    Pool other(1600);
+    unsigned agreed = 0;
+    for (std::uint64_t part = 0; part < 200; ++part) {
+        agreed += one.choose(question(part), 0)->endpoint == other.choose(question(part), 0)->endpoint ? 1 : 0;
+    }
+    BOOST_TEST(agreed == 200U);
+    const auto home = one.choose(question(), 0);
+    EndpointQuestion asked = question();
+    asked.avoid = {home->endpoint};
+    const auto spilled = one.choose(asked, 0);
+    one.started(asked, *spilled, 0);
+    one.answered(*spilled, 200, 200);
+    one.ended(*spilled, AttemptEnd::Whole, true, 300);
+    other.setOtherLoads(one.loads(400));
+    BOOST_TEST(other.choose(question(), 400)->endpoint == spilled->endpoint);
+}
+
+BOOST_AUTO_TEST_CASE(amongManyEndpointsNoneThatIsEjectedIsTaken)
+{
+    Pool endpoints(100);
+    for (unsigned number = 0; number < 40; ++number) {
+        const EndpointChoice choice{.endpoint = std::to_string(number), .model = "small"};
+        endpoints.started(question(), choice, 0);
+        endpoints.ended(choice, AttemptEnd::Unreachable, false, 0);
+    }
+    for (std::uint64_t part = 0; part < 300; ++part) {
+        BOOST_TEST(std::stoi(endpoints.choose(question(part), 1)->endpoint) >= 40);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(anEndpointThatGoesMovesOnlyItsOwnPrompts)
+{
+    std::vector<std::string> names;
+    for (unsigned number = 0; number < 20; ++number) {
+        names.push_back(std::to_string(number));
+    }
+    const EndpointRing ring(names);
+    unsigned moved = 0;
+    for (std::uint64_t hash = 0; hash < 2000; ++hash) {
+        const std::uint64_t spread = hash * 0x9E3779B97F4A7C15;
+        const auto before = ring.homeOf(spread, [](std::size_t) {
+            return true;
+        });
+        const auto after = ring.homeOf(spread, [](std::size_t index) {
+            return index != 7;
+        });
+        moved += before != after ? 1 : 0;
+        BOOST_TEST((before == after || *before == 7U));
+    }
+    BOOST_TEST(moved > 20U);
+    BOOST_TEST(moved < 250U);
+}
