Gateways score samples of the engines, smaller where there are many gateways

Cause: all gateways see the same least loaded engine and send to it until they hear of each other.

Change: a gateway scores twice its share of the engines, 4 to 24, drawn anew for each request, besides home and holders. What was sent is told for 450 ms.

--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -17,10 +17,12 @@
 constexpr double FastestTokensPerMs = 200;
 /** An endpoint ejected again and again stays away for at most this many times the first time. */
 constexpr unsigned MostEjectionDoublings = 2;
-/** Up to this many endpoints are all scored: more than a site of the users has of one version. Among more a sample is drawn. */
-constexpr std::size_t ScoreAllLimit = 64;
+/** Endpoints that a gateway scores, for each that would be its own if they were shared out: replays of 6 gateways with 18 engines and of 29 with
+ * 52 lose most with many more than this. */
+constexpr std::size_t SamplesEach = 2;
+constexpr std::size_t LeastSample = 4;
 /** The least loaded of this many is among the best twentieth most of the time. */
-constexpr std::size_t SampleSize = 24;
+constexpr std::size_t MostSample = 24;
 /** A prompt that more engines hold than this has enough of them. */
 constexpr std::size_t MostHolders = 8;
 
@@ -72,6 +74,9 @@
     return prompt.empty() ? 0 : allTokens(prompt) - prompt.back().tokens;
 }
 
+DirectEndpoints::DirectEndpoints() : DirectEndpoints(DirectEndpointsOptions{})
+{ }
+
 DirectEndpoints::DirectEndpoints(DirectEndpointsOptions given) : options(std::move(given))
 { }
 
@@ -197,11 +202,22 @@
     return std::find(question.avoid.begin(), question.avoid.end(), endpoint.announcement.endpoint()) == question.avoid.end();
 }
 
+void DirectEndpoints::setGateways(std::uint32_t count)
+{
+    this->gateways = std::max(1U, count);
+}
+
+std::size_t DirectEndpoints::sampleSize(std::size_t members) const
+{
+    return std::clamp(SamplesEach * members / this->gateways, LeastSample, MostSample);
+}
+
 void DirectEndpoints::addSome(PromptState &state, const Group &group, const std::function<bool(const Known &)> &mayTake) const
 {
-    const bool isLarge = group.members.size() > ScoreAllLimit;
+    const std::size_t sample = this->sampleSize(group.members.size());
+    const bool isLarge = group.members.size() > sample;
     std::uniform_int_distribution<std::size_t> any(0, group.members.size() - 1);
-    for (std::size_t drawn = 0; isLarge && drawn < SampleSize; ++drawn) {
+    for (std::size_t drawn = 0; isLarge && drawn < sample; ++drawn) {
         const Known &endpoint = *group.members[any(this->random)];
         if (mayTake(endpoint)) {
             state.candidates.push_back(&endpoint);
@@ -233,7 +249,7 @@
             continue;
         }
         this->addSome(state, group, mayTake);
-        isSampled = isSampled || group.members.size() > ScoreAllLimit;
+        isSampled = isSampled || group.members.size() > this->sampleSize(group.members.size());
         // The last part is the request's own, or its session's: others share what stands before it.
         const bool isShared = state.home == nullptr && state.chain.size() > 1;
         const std::optional<std::size_t> home = isShared ? group.ring.homeOf(state.chain[state.chain.size() - 2],
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -102,8 +102,8 @@
     double readingWeight = 2;
     /** Prompt tokens that an engine is thought to keep: less than any of the users' engines has memory for, as what runs takes some. */
     std::uint64_t memoryTokens = 350'000;
-    /** What was sent lately is told to other gateways for this long: two heartbeats and their way. */
-    std::uint64_t toldMs = 700;
+    /** What was sent lately is told to other gateways for this long: three heartbeats and their way. */
+    std::uint64_t toldMs = 450;
 };
 
 /** \class DirectEndpoints
@@ -115,11 +115,14 @@
  * samples, never more than half of a service), uneven gateways (gateways tell each other by way of the leader what they have sent,
  * since one long prompt holds an engine up for seconds). They also tell each other which
  * prompts they sent where: each then knows what every engine holds, and a prompt that has spilled is not read a third time.
+ * Until they have heard, gateways would all send to the same least loaded engine: so each scores a sample of its own, the smaller the more
+ * gateways there are (Mitzenmacher, How useful is old information?, 2000).
  */
 class DirectEndpoints
 {
 public:
-    explicit DirectEndpoints(DirectEndpointsOptions options = {});
+    DirectEndpoints();
+    explicit DirectEndpoints(DirectEndpointsOptions options);
     DirectEndpoints(const DirectEndpoints &) = delete;
     DirectEndpoints &operator=(const DirectEndpoints &) = delete;
 
@@ -131,6 +134,9 @@
 
     void announce(const Wire::EndpointAnnouncement &announcement);
 
+    /** Gateways that share the endpoints, this one included. */
+    void setGateways(std::uint32_t count);
+
     /** \returns nothing when no endpoint may take the request */
     std::optional<EndpointChoice> choose(const EndpointQuestion &question, std::uint64_t nowMs) const;
 
@@ -205,6 +211,7 @@
     void group(const std::string &service);
     bool mayTake(const Known &endpoint, const EndpointQuestion &question, bool ejectedToo, std::uint64_t nowMs) const;
     PromptState candidates(const EndpointQuestion &question, bool wanted, bool ejectedToo, std::uint64_t nowMs) const;
+    std::size_t sampleSize(std::size_t members) const;
     void addSome(PromptState &state, const Group &group, const std::function<bool(const Known &)> &mayTake) const;
     void addHolders(PromptState &state, const EndpointQuestion &question, bool wanted, const std::function<bool(const Known &)> &mayTake) const;
     Scored score(const Known &endpoint, const EndpointQuestion &question, const PromptState &state) const;
@@ -224,6 +231,7 @@
     /** Endpoints thought to hold a prompt, by its hash. */
     std::unordered_map<std::uint64_t, std::vector<const Known *>> holders;
     mutable std::minstd_rand random;
+    std::uint32_t gateways = 1;
     /** After what it changes when it goes. */
     std::map<std::string, Known> known;
 };
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -292,6 +292,7 @@
 void GatewayTask::Private::admit(ForwardRequest request, const std::shared_ptr<HttpReply> &reply)
 {
     this->context.retries.setGateways(this->context.view->gateways());
+    this->context.endpoints.setGateways(this->context.view->gateways());
     const std::shared_ptr<const PlanIndex> plan = this->context.view->plan();
     if (!plan) {
         this->waitForLease(std::move(request), reply);
