Gateways tell the leader of their work ten times a second

Change: besides the heartbeat to all replicas every 300 ms, one to the leader every 100 ms; work is told to the leader only, while it confirms leases. Lists of announcements go by time instead of by heartbeats.

--- a/Apricothead/src/Coordination/Shared/ReplicaClient.cpp
+++ b/Apricothead/src/Coordination/Shared/ReplicaClient.cpp
@@ -424,6 +424,15 @@
     this->d->sendHeartbeats();
 }
 
+void ReplicaClient::heartbeatNow(const std::string &replica)
+{
+    const std::vector<std::string> &seeds = this->d->options.seeds;
+    const auto found = std::find(seeds.begin(), seeds.end(), replica);
+    if (found != seeds.end()) {
+        this->d->sendHeartbeat(static_cast<std::size_t>(found - seeds.begin()));
+    }
+}
+
 const Wire::Configuration &ReplicaClient::configuration() const
 {
     return this->d->configuration;
--- a/Apricothead/src/Coordination/Shared/ReplicaClient.h
+++ b/Apricothead/src/Coordination/Shared/ReplicaClient.h
@@ -78,6 +78,8 @@
 
     /** Sends a heartbeat at once, for instance when this process starts leaving. */
     void heartbeatNow();
+    /** As above, to one replica only. */
+    void heartbeatNow(const std::string &replica);
 
     /** \returns the newest configuration seen; revision 0 before the first */
     const Wire::Configuration &configuration() const;
--- a/Apricothead/src/Gateway/ServingView.cpp
+++ b/Apricothead/src/Gateway/ServingView.cpp
@@ -13,10 +13,15 @@
 
 /** Several confirmations fit into a lease, and one that is lost costs little of it. */
 constexpr std::chrono::milliseconds HeartbeatInterval{300};
+/** The leader passes work on to the other gateways: replays with 29 gateways lose a third of their late answers when they hear of each other
+ * this often. */
+constexpr std::chrono::milliseconds TellInterval{100};
+/** A replica that confirmed no lease for this long leads no more: all are told. */
+constexpr std::uint64_t LeaderSilenceMs = 1000;
 /** All announcements are asked for now and then: a replica that restarted no longer tells of what it forgot. */
-constexpr unsigned HeartbeatsBetweenLists = 10;
+constexpr std::uint64_t ListIntervalMs = 3000;
 /** Confirmations older than this are of no use. */
-constexpr std::size_t MostRounds = 64;
+constexpr std::size_t MostRounds = 128;
 
 } // namespace
 
@@ -29,7 +34,10 @@
     return static_cast<std::uint64_t>(now.tv_sec) * MsPerSecond + static_cast<std::uint64_t>(now.tv_nsec) / NsPerMs;
 }
 
-ServingView::ServingView(EventLoop &loop, ServingViewOptions given) : options(std::move(given))
+ServingView::ServingView(EventLoop &loop, ServingViewOptions given)
+    : options(std::move(given)), tellTimer(loop, [this] {
+        this->tellLeader();
+    })
 {
     const Settings &settings = this->options.settings;
     this->client = std::make_unique<ReplicaClient>(loop,
@@ -61,10 +69,23 @@
                                                            },
                                                        .followMembers = true,
                                                    });
+    this->tellTimer.startRepeating(TellInterval);
 }
 
 ServingView::~ServingView() = default;
 
+bool ServingView::hasLeader() const
+{
+    return !this->leader.empty() && this->leaseAgeMs() < LeaderSilenceMs;
+}
+
+void ServingView::tellLeader()
+{
+    if (this->hasLeader()) {
+        this->client->heartbeatNow(this->leader);
+    }
+}
+
 void ServingView::describeTo(const std::string &replica, Wire::Heartbeat &heartbeat)
 {
     heartbeat.set_serving_number(this->state.number());
@@ -74,13 +95,18 @@
     while (this->askedMs.size() > MostRounds) {
         this->askedMs.erase(this->askedMs.begin());
     }
-    const bool isListDue = this->heartbeats[replica]++ % HeartbeatsBetweenLists == 0;
+    const std::uint64_t nowMs = bootTimeMs();
+    const auto [listed, isFirst] = this->listedMs.try_emplace(replica, nowMs);
+    const bool isListDue = isFirst || nowMs - listed->second >= ListIntervalMs;
+    listed->second = isListDue ? nowMs : listed->second;
     heartbeat.set_wants_announcements(isListDue || this->unheardReplicas.contains(replica));
     for (Wire::VersionCount &count : this->options.countVersions()) {
         heartbeat.add_versions()->Swap(&count);
     }
-    for (Wire::EndpointLoad &load : this->options.ownLoads()) {
-        heartbeat.add_loads()->Swap(&load);
+    if (replica == this->leader || !this->hasLeader()) {
+        for (Wire::EndpointLoad &load : this->options.ownLoads()) {
+            heartbeat.add_loads()->Swap(&load);
+        }
     }
     const std::vector<std::uint64_t> held = this->options.heldSessions();
     heartbeat.mutable_held_sessions()->Add(held.begin(), held.end());
@@ -93,6 +119,7 @@
     }
     this->takeAnnouncements(replica, update);
     if (update.lease_round() != 0) {
+        this->leader = replica;
         this->confirm(update);
     }
 }
--- a/Apricothead/src/Gateway/ServingView.h
+++ b/Apricothead/src/Gateway/ServingView.h
@@ -4,6 +4,7 @@
 #include "../Coordination/Shared/ReplicaClient.h"
 #include "../Decisions/PlanIndex.h"
 #include "../Protocol/Settings.h"
+#include "../Transport/Timer.h"
 
 #include <cstdint>
 #include <functional>
@@ -67,15 +68,21 @@
     void takeServing(const Wire::ServingState &serving);
     void takeAnnouncements(const std::string &replica, const Wire::ClusterUpdate &update);
     void confirm(const Wire::ClusterUpdate &update);
+    bool hasLeader() const;
+    void tellLeader();
     void describeTo(const std::string &replica, Wire::Heartbeat &heartbeat);
 
     ServingViewOptions options;
+    Timer tellTimer;
     std::unique_ptr<ReplicaClient> client;
+    /** The replica that confirmed last. */
+    std::string leader;
     std::shared_ptr<const PlanIndex> index;
     Wire::ServingState state;
     AnnouncementView announcements;
     std::set<std::string> unheardReplicas;
-    std::map<std::string, unsigned> heartbeats;
+    /** When each replica was last asked for all announcements. */
+    std::map<std::string, std::uint64_t> listedMs;
     std::map<std::uint64_t, std::uint64_t> askedMs;
     std::uint64_t round = 0;
     std::uint64_t confirmedMs = 0;
