Soak: a removed organisation is served by no entry

Each step gives an organisation a key, asks, takes both away and asks again while faults go on. Not yet shown failing with its guard removed.

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -3,7 +3,9 @@
 
 #include "FaultSeries.h"
 #include "support/Load.h"
+#include <Apricothead/Protocol>
 
+#include <random>
 #include <thread>
 
 using namespace Apricothead;
@@ -15,6 +17,9 @@
 constexpr unsigned Threads = 6;
 constexpr std::chrono::seconds DefaultLength{20};
 constexpr std::uint64_t DefaultSeed = 1;
+constexpr unsigned Entries = 3;
+/** An entry that is frozen answers nothing: the series goes on without it. */
+constexpr std::chrono::milliseconds AskTimeout{1500};
 /** From the end of all faults until every entry serves: an election, and lapsed connections that are made anew. */
 constexpr std::chrono::milliseconds RecoveryBound{20000};
 
@@ -66,6 +71,56 @@
     unsigned number = 0;
 };
 
+/** Gives an organisation a key, and takes both away, while faults go on: from then on no entry serves it. */
+class RevocationWatch
+{
+public:
+    RevocationWatch(Cluster &givenCluster, std::uint64_t seed) : cluster(givenCluster), random(seed)
+    { }
+
+    /** \returns a line for each promise that is broken */
+    std::string step()
+    {
+        const std::string name = "gone-" + std::to_string(++this->number);
+        Wire::ConfigurationChange put;
+        put.mutable_put_organisation()->set_id(name);
+        put.mutable_put_organisation()->add_key_hashes(sha256Hex("key-" + name));
+        put.mutable_put_organisation()->add_allowances()->set_model("small");
+        if (!this->cluster.administrator().change(put).empty()) {
+            return {};
+        }
+        this->served += isServed(this->ask(name, "before")) ? 1 : 0;
+        Wire::ConfigurationChange remove;
+        remove.set_remove_organisation(name);
+        if (!this->cluster.administrator().change(remove).empty()) {
+            return {};
+        }
+        ++this->revoked;
+        return isServed(this->ask(name, "after")) ? name + " was served after it was removed\n" : std::string();
+    }
+
+    unsigned revoked = 0;
+    unsigned served = 0;
+
+private:
+    static bool isServed(const HttpAnswer &answer)
+    {
+        return answer.status >= 200 && answer.status < 300;
+    }
+
+    HttpAnswer ask(const std::string &name, const std::string &when)
+    {
+        HttpCallSpec spec = this->cluster.chatSpec(static_cast<unsigned>(this->random() % Entries), name + " " + when, {});
+        spec.headers["Authorization"] = "Bearer key-" + name;
+        spec.timeout = AskTimeout;
+        return call(spec);
+    }
+
+    Cluster &cluster;
+    std::mt19937_64 random;
+    unsigned number = 0;
+};
+
 /** \returns a line for each answer that is complete but not the one to its request */
 std::string wrongAnswers(const std::vector<LoadResult> &results)
 {
@@ -108,12 +163,14 @@
     Cluster cluster({.relayToEndpoints = true, .relayToReplicas = true, .engineArguments = {"--token_delay_ms=10"}});
     FaultSeries faults(cluster, seed);
     ConfigurationWatch configuration(cluster.administrator());
+    RevocationWatch revocation(cluster, seed);
     std::string broken;
     Load load(cluster, {0, 1, 2}, Threads, Tokens);
     const auto end = std::chrono::steady_clock::now() + length;
     while (std::chrono::steady_clock::now() < end) {
         const std::chrono::milliseconds pause = faults.step();
         broken += configuration.step();
+        broken += revocation.step();
         std::this_thread::sleep_for(pause);
     }
     faults.healAll();
@@ -127,7 +184,8 @@
     broken += wrongAnswers(results);
     broken += untrueAnswers(cluster, results);
     BOOST_TEST_MESSAGE("seed " << seed << ": " << results.size() << " requests, " << wholeCount(results, Tokens) << " whole, " << configuration.acknowledged
-                               << " changes acknowledged, " << configuration.reads << " reads");
+                               << " changes acknowledged, " << configuration.reads << " reads, " << revocation.revoked << " organisations removed, "
+                               << revocation.served << " of them served before");
     BOOST_TEST(broken == "", broken << faults.story());
     BOOST_TEST(serves, "does not serve again\n" << faults.story());
     BOOST_TEST(wholeCount(results, Tokens) > 0U);
