Announcements that say nothing new cost a gateway nothing; one sum for all gateways

Cause: every 3 s each of five replicas sent all 122 announcements to each gateway. The view compared them with the sequence, which every heartbeat raises, so all counted as changed; each rebuilt the groups and the ring of its service and wrote a line. At the leader, the sum of all loads was made anew for each of 68 gateways, ten times a second.

Change: - what counts as a change is compared without the sequence, field by field - a gateway asks for a list with the digest of what it knows; a replica that has the same answers with one flag - groups and rings are built at the next choice, once for all changes - changes received by another replica are sent once a maintenance interval - the leader sums loads and held sessions once a round; the gateway subtracts what it reported itself - replicas that do not lead get a heartbeat every 0.9 s while there is a leader; ZeroMQ's own heartbeats of dealers go, as the links have their own - a request whose caller has closed its side before it was read is not served

--- a/Apricothead/src/Coordination/Replica/ReplicaLinks.cpp
+++ b/Apricothead/src/Coordination/Replica/ReplicaLinks.cpp
@@ -71,9 +71,11 @@
     });
 }
 
-void ReplicaLinks::reply(const PeerId &peer, const Wire::Envelope &message)
+void ReplicaLinks::reply(const PeerId &peer, const Wire::Envelope &message, const std::string &common)
 {
     std::string bytes = message.SerializeAsString();
+    // Concatenated messages are merged when they are parsed.
+    bytes += common;
     this->sentBytes += bytes.size();
     this->dispatch([this, peer, bytes = std::move(bytes)] {
         this->router->send(peer, bytes);
--- a/Apricothead/src/Coordination/Replica/ReplicaLinks.h
+++ b/Apricothead/src/Coordination/Replica/ReplicaLinks.h
@@ -49,7 +49,7 @@
     Wire::Envelope envelope() const;
 
     /** Sends to the peer of an inbound connection. */
-    void reply(const PeerId &peer, const Wire::Envelope &message);
+    void reply(const PeerId &peer, const Wire::Envelope &message, const std::string &common = {});
 
     /** Sends to the replica at \a address. \returns false when it is not connected */
     bool sendTo(const std::string &address, const Wire::Envelope &message);
--- a/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
@@ -345,10 +345,10 @@
                 return started ? id : 0;
             },
         .send =
-            [this](const PeerId &peer, const Wire::ClusterUpdate &update) {
+            [this](const PeerId &peer, const Wire::ClusterUpdate &update, const std::string &common) {
                 Wire::Envelope message = this->links->envelope();
                 *message.mutable_update() = update;
-                this->links->reply(peer, message);
+                this->links->reply(peer, message, common);
             },
         .relay =
             [this](const Wire::Announcements &announcements) {
--- a/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
+++ b/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
@@ -36,10 +36,14 @@
     gateway.planRevision = heartbeat.plan_revision();
     gateway.lastHeartbeatMs = nowMs;
     gateway.versions.assign(heartbeat.versions().begin(), heartbeat.versions().end());
+    gateway.loadRound = heartbeat.lease_round();
     gateway.loads.assign(heartbeat.loads().begin(), heartbeat.loads().end());
     gateway.heldSessions.assign(heartbeat.held_sessions().begin(), heartbeat.held_sessions().end());
     Wire::ClusterUpdate update;
-    if (heartbeat.wants_announcements()) {
+    const bool isListCurrent = heartbeat.wants_announcements() && heartbeat.announcement_digest() == this->registry.digest();
+    if (isListCurrent) {
+        update.set_announcements_current(true);
+    } else if (heartbeat.wants_announcements()) {
         update.set_all_announcements(true);
         for (const Wire::EndpointAnnouncement &announcement : this->registry.all()) {
             *update.add_announcements() = announcement;
@@ -47,7 +51,7 @@
     }
     this->fillServing(gateway, update);
     if (update.ByteSizeLong() > 0) {
-        this->options.send(peer, update);
+        this->options.send(peer, update, {});
     }
     if (this->options.isLeader()) {
         this->pendingLeaseRounds[peer] = heartbeat.lease_round();
@@ -87,7 +91,7 @@
         Wire::ClusterUpdate update;
         this->fillServing(gateway, update);
         if (update.has_serving()) {
-            this->options.send(peer, update);
+            this->options.send(peer, update, {});
         }
     }
 }
@@ -109,7 +113,7 @@
                  {"sequence", announcement.sequence()}});
     }
     for (const auto &[peer, gateway] : this->gateways) {
-        this->options.send(peer, update);
+        this->options.send(peer, update, {});
     }
 }
 
@@ -166,6 +170,19 @@
             changed.push_back(std::move(change));
         }
     }
+    // The replica that received them has sent them to the gateways at once. These are the second way, for gateways that it does not reach.
+    for (Wire::EndpointAnnouncement &change : changed) {
+        const std::string endpoint = change.endpoint();
+        this->relayedChanges[endpoint] = std::move(change);
+    }
+}
+
+void ServingPublisher::sendRelayedChanges()
+{
+    std::vector<Wire::EndpointAnnouncement> changed;
+    for (auto &[endpoint, change] : std::exchange(this->relayedChanges, {})) {
+        changed.push_back(std::move(change));
+    }
     this->sendToGateways(changed);
 }
 
@@ -196,6 +213,7 @@
         this->registry.resetSilence(nowMs);
     }
     this->lastMaintenanceMs = nowMs;
+    this->sendRelayedChanges();
     this->sendToGateways(this->registry.expire(nowMs));
     this->relayHeartbeats(nowMs);
     std::erase_if(this->gateways, [nowMs](const auto &entry) {
@@ -223,6 +241,7 @@
     if (!confirmed) {
         return true;
     }
+    const std::string common = this->commonConfirmation();
     for (const auto &[peer, round] : leaseRounds) {
         const auto gateway = this->gateways.find(peer);
         if (gateway == this->gateways.end()) {
@@ -231,46 +250,36 @@
         Wire::ClusterUpdate update;
         this->fillServing(gateway->second, update);
         update.set_lease_round(round);
-        update.set_serving_number(this->options.serving().number());
-        update.set_gateways(this->gatewayCount(this->lastMaintenanceMs));
-        *update.mutable_members() = this->options.membership().members();
-        this->fillLoads(peer, update);
-        this->fillHeldSessions(peer, update);
-        this->options.send(peer, update);
+        update.set_load_round(this->hasCurrentLoads(gateway->second) ? gateway->second.loadRound : 0);
+        this->options.send(peer, update, common);
     }
     return true;
 }
 
-void ServingPublisher::fillLoads(const PeerId &peer, Wire::ClusterUpdate &update) const
+bool ServingPublisher::hasCurrentLoads(const Gateway &gateway) const
 {
-    std::map<std::string, Wire::EndpointLoad> sums;
-    for (const auto &[other, gateway] : this->gateways) {
-        if (other == peer || this->lastMaintenanceMs - std::min(this->lastMaintenanceMs, gateway.lastHeartbeatMs) > MaxLoadAgeMs) {
-            continue;
-        }
-        for (const Wire::EndpointLoad &load : gateway.loads) {
-            Wire::EndpointLoad &sum = sums[load.endpoint()];
-            sum.set_endpoint(load.endpoint());
-            sum.set_awaiting_ms(sum.awaiting_ms() + load.awaiting_ms());
-            sum.set_running(sum.running() + load.running());
-            sum.mutable_prefixes()->MergeFrom(load.prefixes());
-            sum.mutable_prefix_tokens()->MergeFrom(load.prefix_tokens());
-        }
-    }
-    for (auto &[endpoint, sum] : sums) {
-        update.add_loads()->Swap(&sum);
-    }
+    return this->lastMaintenanceMs - std::min(this->lastMaintenanceMs, gateway.lastHeartbeatMs) <= MaxLoadAgeMs;
 }
 
-void ServingPublisher::fillHeldSessions(const PeerId &peer, Wire::ClusterUpdate &update) const
+std::string ServingPublisher::commonConfirmation() const
 {
-    for (const auto &[other, gateway] : this->gateways) {
+    Wire::Envelope message;
+    Wire::ClusterUpdate &update = *message.mutable_update();
+    update.set_serving_number(this->options.serving().number());
+    update.set_gateways(this->gatewayCount(this->lastMaintenanceMs));
+    *update.mutable_members() = this->options.membership().members();
+    LoadTotals totals;
+    for (const auto &[peer, gateway] : this->gateways) {
+        if (this->hasCurrentLoads(gateway)) {
+            totals.add(gateway.loads);
+        }
         // A gateway that is silent for longer holds no sessions any more.
-        if (other == peer || this->lastMaintenanceMs - std::min(this->lastMaintenanceMs, gateway.lastHeartbeatMs) > GatewaySilenceMs) {
-            continue;
+        if (this->lastMaintenanceMs - std::min(this->lastMaintenanceMs, gateway.lastHeartbeatMs) <= GatewaySilenceMs) {
+            update.mutable_held_sessions()->Add(gateway.heldSessions.begin(), gateway.heldSessions.end());
         }
-        update.mutable_held_sessions()->Add(gateway.heldSessions.begin(), gateway.heldSessions.end());
     }
+    totals.appendTo(*update.mutable_loads());
+    return message.SerializeAsString();
 }
 
 std::vector<GatewayCounts> ServingPublisher::counts(std::uint64_t nowMs) const
--- a/Apricothead/src/Coordination/Replica/ServingPublisher.h
+++ b/Apricothead/src/Coordination/Replica/ServingPublisher.h
@@ -2,6 +2,7 @@
 
 #include "../Shared/AnnouncementRegistry.h"
 
+#include "../../Decisions/LoadTotals.h"
 #include "../../Protocol/Messages.h"
 #include "../../Transport/Router.h"
 
@@ -23,7 +24,8 @@
     std::function<bool()> isLeader;
     /** Starts a read index round. \returns its id, 0 when this replica is not the leader */
     std::function<std::uint64_t()> startRead;
-    std::function<void(const PeerId &, const Wire::ClusterUpdate &)> send;
+    /** Sends an update. \a common: a serialised envelope to be appended, whose update is thereby merged into this one; empty for none. */
+    std::function<void(const PeerId &, const Wire::ClusterUpdate &, const std::string &common)> send;
     /** Sends announcements to the other replicas. */
     std::function<void(const Wire::Announcements &)> relay;
 };
@@ -85,14 +87,18 @@
         std::uint64_t lastHeartbeatMs = 0;
         std::vector<Wire::VersionCount> versions;
         std::vector<Wire::EndpointLoad> loads;
+        /** Lease round of the heartbeat with these loads. */
+        std::uint64_t loadRound = 0;
         std::vector<std::uint64_t> heldSessions;
     };
-    void fillHeldSessions(const PeerId &peer, Wire::ClusterUpdate &update) const;
-    void fillLoads(const PeerId &peer, Wire::ClusterUpdate &update) const;
+    bool hasCurrentLoads(const Gateway &gateway) const;
+    /** \returns the part of a lease confirmation that is the same for all gateways, serialised */
+    std::string commonConfirmation() const;
     void sendToGateways(const std::vector<Wire::EndpointAnnouncement> &changed);
     void publish(const std::vector<Wire::EndpointAnnouncement> &changed);
     void fillServing(Gateway &gateway, Wire::ClusterUpdate &update);
     void relayHeartbeats(std::uint64_t nowMs);
+    void sendRelayedChanges();
 
     ServingPublisherOptions options;
     AnnouncementRegistry registry;
@@ -101,6 +107,8 @@
     std::map<std::uint64_t, std::map<PeerId, std::uint64_t>> leaseReads;
     /** Time of the last heartbeat that each endpoint sent to this replica directly. */
     std::map<std::string, std::uint64_t> lastDirectHeartbeatMs;
+    /** Changes received by other replicas since the last maintenance, by endpoint. A storm of changes is sent in a few messages. */
+    std::map<std::string, Wire::EndpointAnnouncement> relayedChanges;
     std::uint64_t lastMaintenanceMs = 0;
     std::uint64_t lastRelayMs = 0;
 };
--- a/Apricothead/src/Coordination/Shared/AnnouncementRegistry.cpp
+++ b/Apricothead/src/Coordination/Shared/AnnouncementRegistry.cpp
@@ -1,5 +1,7 @@
 #include "AnnouncementRegistry.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace Apricothead {
@@ -13,13 +15,26 @@
     return announcement.sequence() <= recorded.sequence();
 }
 
+} // namespace
+
 bool hasSameContent(const Wire::EndpointAnnouncement &left, const Wire::EndpointAnnouncement &right)
 {
     return left.service() == right.service() && left.address() == right.address() && left.availability_zone() == right.availability_zone()
         && left.version() == right.version() && left.slots() == right.slots() && left.state() == right.state() && left.born_ms() == right.born_ms();
 }
 
-} // namespace
+std::uint64_t announcementHash(const Wire::EndpointAnnouncement &announcement)
+{
+    if (announcement.state() != Wire::ANNOUNCED_STATE_READY) {
+        return 0;
+    }
+    std::uint64_t hash = XXH3_64bits_withSeed(nullptr, 0, static_cast<std::uint64_t>(announcement.born_ms()) ^ announcement.slots());
+    for (const std::string *text :
+         {&announcement.endpoint(), &announcement.service(), &announcement.address(), &announcement.availability_zone(), &announcement.version()}) {
+        hash = XXH3_64bits_withSeed(text->data(), text->size(), hash);
+    }
+    return hash;
+}
 
 bool isFinal(Wire::AnnouncedState state)
 {
@@ -124,6 +139,15 @@
     return listed;
 }
 
+std::uint64_t AnnouncementRegistry::digest() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[endpoint, entry] : this->entries) {
+        sum += announcementHash(entry.announcement);
+    }
+    return sum;
+}
+
 std::vector<Wire::EndpointAnnouncement> AnnouncementRegistry::activeSince(std::uint64_t sinceMs) const
 {
     std::vector<Wire::EndpointAnnouncement> listed;
--- a/Apricothead/src/Coordination/Shared/AnnouncementRegistry.h
+++ b/Apricothead/src/Coordination/Shared/AnnouncementRegistry.h
@@ -37,6 +37,9 @@
 
     std::vector<Wire::EndpointAnnouncement> all() const;
 
+    /** \returns a digest of the ready endpoints. \sa announcementHash() */
+    std::uint64_t digest() const;
+
     /** \returns the ready endpoints with a heartbeat after \a sinceMs */
     std::vector<Wire::EndpointAnnouncement> activeSince(std::uint64_t sinceMs) const;
 
@@ -56,4 +59,11 @@
 /** \returns true when \a state is final for an incarnation */
 bool isFinal(Wire::AnnouncedState state);
 
+/** \returns true when both describe the same incarnation in the same state. The sequence, which every heartbeat increments, is not compared. */
+bool hasSameContent(const Wire::EndpointAnnouncement &left, const Wire::EndpointAnnouncement &right);
+
+/** \returns a hash of what hasSameContent() compares, 0 for an endpoint that is not ready. The digest of a list is the sum of its hashes, so it
+ * does not depend on the order. */
+std::uint64_t announcementHash(const Wire::EndpointAnnouncement &announcement);
+
 } // namespace Apricothead
--- a/Apricothead/src/Coordination/Shared/AnnouncementView.cpp
+++ b/Apricothead/src/Coordination/Shared/AnnouncementView.cpp
@@ -2,8 +2,7 @@
 
 #include "AnnouncementRegistry.h"
 
-#include <google/protobuf/util/message_differencer.h>
-
+#include <optional>
 #include <set>
 
 namespace Apricothead {
@@ -32,21 +31,22 @@
     return precedenceOf(left.state()) > precedenceOf(right.state());
 }
 
-bool isSame(const Wire::EndpointAnnouncement &left, const Wire::EndpointAnnouncement &right)
-{
-    return google::protobuf::util::MessageDifferencer::Equals(left, right);
-}
-
 } // namespace
 
 std::vector<Wire::EndpointAnnouncement> AnnouncementView::applyUpdate(const std::string &replica, const std::vector<Wire::EndpointAnnouncement> &announcements)
 {
     std::vector<Wire::EndpointAnnouncement> changed;
     for (const Wire::EndpointAnnouncement &announcement : announcements) {
-        const std::optional<Wire::EndpointAnnouncement> previous = this->find(announcement.endpoint());
-        this->reported[announcement.endpoint()][replica] = announcement;
-        const Wire::EndpointAnnouncement current = *this->find(announcement.endpoint());
-        if (!previous || !isSame(*previous, current)) {
+        std::map<std::string, Wire::EndpointAnnouncement> &views = this->reported[announcement.endpoint()];
+        const auto view = views.find(replica);
+        if (view != views.end() && hasSameContent(view->second, announcement)) {
+            continue;
+        }
+        const Wire::EndpointAnnouncement *merged = this->find(announcement.endpoint());
+        const std::optional<Wire::EndpointAnnouncement> previous = merged == nullptr ? std::nullopt : std::make_optional(*merged);
+        views[replica] = announcement;
+        const Wire::EndpointAnnouncement &current = *this->find(announcement.endpoint());
+        if (!previous || !hasSameContent(*previous, current)) {
             changed.push_back(current);
         }
     }
@@ -82,11 +82,21 @@
     }
 }
 
-std::optional<Wire::EndpointAnnouncement> AnnouncementView::find(const std::string &endpoint) const
+std::uint64_t AnnouncementView::digest(const std::string &replica) const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[endpoint, views] : this->reported) {
+        const auto view = views.find(replica);
+        sum += view == views.end() ? 0 : announcementHash(view->second);
+    }
+    return sum;
+}
+
+const Wire::EndpointAnnouncement *AnnouncementView::find(const std::string &endpoint) const
 {
     const auto found = this->reported.find(endpoint);
     if (found == this->reported.end()) {
-        return std::nullopt;
+        return nullptr;
     }
     const Wire::EndpointAnnouncement *best = nullptr;
     for (const auto &[replica, announcement] : found->second) {
@@ -94,7 +104,7 @@
             best = &announcement;
         }
     }
-    return *best;
+    return best;
 }
 
 } // namespace Apricothead
--- a/Apricothead/src/Coordination/Shared/AnnouncementView.h
+++ b/Apricothead/src/Coordination/Shared/AnnouncementView.h
@@ -2,8 +2,8 @@
 
 #include "../../Protocol/Messages.h"
 
+#include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,8 +28,11 @@
     /** Drops the announcements of a replica that became silent, except final states and those of endpoints that no other replica lists. */
     void forgetReplica(const std::string &replica);
 
-    /** \returns the merged announcement, nothing when the endpoint is unknown */
-    std::optional<Wire::EndpointAnnouncement> find(const std::string &endpoint) const;
+    /** \returns the merged announcement, null when the endpoint is unknown. Valid until the next change. */
+    const Wire::EndpointAnnouncement *find(const std::string &endpoint) const;
+
+    /** \returns the digest of the ready endpoints reported by \a replica, 0 for an unknown replica. \sa AnnouncementRegistry::digest() */
+    std::uint64_t digest(const std::string &replica) const;
 
 private:
     std::map<std::string, std::map<std::string, Wire::EndpointAnnouncement>> reported;
--- a/Apricothead/src/Coordination/Shared/ReplicaClient.cpp
+++ b/Apricothead/src/Coordination/Shared/ReplicaClient.cpp
@@ -88,7 +88,7 @@
         , options(std::move(given))
         , heartbeatTimer(loop,
                          [this] {
-                             this->sendHeartbeats();
+                             this->sendDueHeartbeats();
                          })
         , callTimer(loop, [this] {
             this->checkCalls();
@@ -173,6 +173,16 @@
         }
     }
 
+    void sendDueHeartbeats()
+    {
+        for (std::size_t seed = 0; seed < this->dealers.size(); ++seed) {
+            const bool isDue = !this->options.isHeartbeatDue || !this->dealers[seed]->isConnected() || this->options.isHeartbeatDue(this->options.seeds[seed]);
+            if (isDue) {
+                this->sendHeartbeat(seed);
+            }
+        }
+    }
+
     /** Calls last sent to the silent replica are sent to another one at the next check. */
     void handleReplicaSilent(std::size_t seed)
     {
--- a/Apricothead/src/Coordination/Shared/ReplicaClient.h
+++ b/Apricothead/src/Coordination/Shared/ReplicaClient.h
@@ -40,6 +40,8 @@
     std::function<void(const std::string &replica)> onReplicaConnected;
     /** Adds the fields that are specific to one replica to a heartbeat. */
     std::function<void(const std::string &replica, Wire::Heartbeat &)> completeHeartbeat;
+    /** Asked before each periodic heartbeat to a connected replica; empty sends all of them. */
+    std::function<bool(const std::string &replica)> isHeartbeatDue;
     /** Whether to connect also to members that are not seeds. */
     bool followMembers = false;
 };
--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -150,8 +150,9 @@
     this->known.erase(found);
 }
 
-void DirectEndpoints::rebuildGroups(const std::string &service)
+void DirectEndpoints::rebuildGroups(const std::string &service) const
 {
+    ++this->rebuildCount;
     std::map<std::string, Group> &versions = this->groups[service];
     versions.clear();
     std::map<std::string, std::vector<std::string>> names;
@@ -189,12 +190,24 @@
     if (isRemovable) {
         this->removeEndpoint(announcement.endpoint());
     }
-    this->rebuildGroups(announcement.service());
-    if (!previousService.empty() && previousService != announcement.service()) {
-        this->rebuildGroups(previousService);
+    this->changedServices.insert(announcement.service());
+    if (!previousService.empty()) {
+        this->changedServices.insert(previousService);
     }
 }
 
+void DirectEndpoints::applyAnnouncements(const std::vector<Wire::EndpointAnnouncement> &announcements)
+{
+    for (const Wire::EndpointAnnouncement &announcement : announcements) {
+        this->applyAnnouncement(announcement);
+    }
+}
+
+std::uint64_t DirectEndpoints::rebuilds() const
+{
+    return this->rebuildCount;
+}
+
 bool DirectEndpoints::canTake(const KnownEndpoint &endpoint, const EndpointQuery &query, bool includeEjected, std::uint64_t nowMs) const
 {
     if (!includeEjected && endpoint.ejectedUntilMs > nowMs) {
@@ -330,6 +343,9 @@
 
 std::optional<EndpointChoice> DirectEndpoints::choose(const EndpointQuery &query, std::uint64_t nowMs) const
 {
+    if (this->changedServices.erase(query.service) > 0) {
+        this->rebuildGroups(query.service);
+    }
     CandidateSet candidateSet = this->findCandidates(query, true, false, nowMs);
     std::string reason;
     if (candidateSet.candidates.empty()) {
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -122,6 +123,8 @@
  * - Load that differs between gateways. Gateways exchange through the leader what they have sent, as one long prompt can occupy an engine for
  *   seconds. They also exchange which prompts they sent to which endpoint, so that each gateway can estimate the cache of every engine, and a
  *   prompt that was processed away from its home is not processed a third time elsewhere.
+ * - Many announcements at once: a start, a roll-out or an added third of the endpoints. They are recorded one by one, and the groups and rings are
+ *   built at the next choice.
  *
  * Until these reports arrive, all gateways would send to the same least loaded engine. So each gateway scores a random sample of its own, which
  * is smaller the more gateways there are (Mitzenmacher, How useful is old information?, 2000).
@@ -142,6 +145,10 @@
     void setOtherLoads(const std::vector<Wire::EndpointLoad> &loads);
 
     void applyAnnouncement(const Wire::EndpointAnnouncement &announcement);
+    void applyAnnouncements(const std::vector<Wire::EndpointAnnouncement> &announcements);
+
+    /** \returns how often the endpoints of a service were grouped anew: at most once for each choice, however many announcements preceded it */
+    std::uint64_t rebuilds() const;
 
     /** Sets the number of gateways that share the endpoints, including this one. */
     void setGatewayCount(std::uint32_t count);
@@ -218,7 +225,7 @@
     };
     KnownEndpoint &findOrAdd(const std::string &endpoint);
     void removeEndpoint(const std::string &endpoint);
-    void rebuildGroups(const std::string &service);
+    void rebuildGroups(const std::string &service) const;
     bool canTake(const KnownEndpoint &endpoint, const EndpointQuery &query, bool includeEjected, std::uint64_t nowMs) const;
     CandidateSet findCandidates(const EndpointQuery &query, bool preferredVersions, bool includeEjected, std::uint64_t nowMs) const;
     std::size_t sampleSize(std::size_t members) const;
@@ -237,8 +244,10 @@
         double tookMs = 0;
     };
     std::map<std::string, PrefillRate> prefillRates;
-    /** By service, then by version. */
-    std::map<std::string, std::map<std::string, Group>> groups;
+    /** By service, then by version. Derived from \c known, and outdated for the services in \c changedServices. */
+    mutable std::map<std::string, std::map<std::string, Group>> groups;
+    mutable std::set<std::string> changedServices;
+    mutable std::uint64_t rebuildCount = 0;
     /** Endpoints that probably have a prefix cached, by its hash. */
     std::unordered_map<std::uint64_t, std::vector<const KnownEndpoint *>> holders;
     mutable std::minstd_rand random;
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -92,8 +92,10 @@
 
     void listen();
     void startServingView();
+    void applyAnnouncements(const std::vector<Wire::EndpointAnnouncement> &changed);
     void answerReady(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
     void handleRequest(HttpRequest request, const std::shared_ptr<HttpReply> &reply);
+    void recordAbandoned(const HttpRequest &request);
     void admit(ForwardRequest request, const std::shared_ptr<HttpReply> &reply);
     void holdForLease(ForwardRequest request, const std::shared_ptr<HttpReply> &reply);
     void refuseForLease(const ForwardRequest &request, const std::shared_ptr<HttpReply> &reply);
@@ -125,15 +127,9 @@
                                                                [this](const Wire::ServingState &state) {
                                                                    this->context.versionSplit.setState(state, this->context.loop.nowMs());
                                                                },
-                                                           .onAnnouncement =
-                                                               [this](const Wire::EndpointAnnouncement &announcement) {
-                                                                   this->context.endpoints.applyAnnouncement(announcement);
-                                                                   logLine(LogLevel::Info,
-                                                                           "endpoint-seen",
-                                                                           {{"endpoint", announcement.endpoint()},
-                                                                            {"service", announcement.service()},
-                                                                            {"version", announcement.version()},
-                                                                            {"state", Wire::AnnouncedState_Name(announcement.state())}});
+                                                           .onAnnouncements =
+                                                               [this](const std::vector<Wire::EndpointAnnouncement> &changed) {
+                                                                   this->applyAnnouncements(changed);
                                                                },
                                                            .versionCounts =
                                                                [this] {
@@ -158,6 +154,19 @@
                                                        });
 }
 
+void GatewayTask::Private::applyAnnouncements(const std::vector<Wire::EndpointAnnouncement> &changed)
+{
+    this->context.endpoints.applyAnnouncements(changed);
+    for (const Wire::EndpointAnnouncement &announcement : changed) {
+        logLine(LogLevel::Info,
+                "endpoint-seen",
+                {{"endpoint", announcement.endpoint()},
+                 {"service", announcement.service()},
+                 {"version", announcement.version()},
+                 {"state", Wire::AnnouncedState_Name(announcement.state())}});
+    }
+}
+
 void GatewayTask::Private::listen()
 {
     const GatewaySettings &gateway = *this->settings.gateway;
@@ -172,6 +181,10 @@
                                                         [this](HttpRequest request, const std::shared_ptr<HttpReply> &reply) {
                                                             this->handleRequest(std::move(request), reply);
                                                         },
+                                                    .onAbandoned =
+                                                        [this](const HttpRequest &request) {
+                                                            this->recordAbandoned(request);
+                                                        },
                                                 });
     this->readyServer = std::make_unique<HttpServer>(this->context.loop,
                                                      HttpServerOptions{
@@ -201,6 +214,7 @@
     gauge("gateways", {}, this->context.view->gateways());
     gauge("requests_open", {}, static_cast<double>(this->runs.size()));
     gauge("requests_waiting", {}, static_cast<double>(this->pendingRequests.size()));
+    gauge("placement_rebuilds_total", {}, static_cast<double>(this->context.endpoints.rebuilds()));
     gauge("log_lines_dropped_total", {}, static_cast<double>(droppedLogLines()));
     for (int index = 0; plan && index < plan->plan().services_size(); ++index) {
         const std::string &service = plan->plan().services(index).name();
@@ -292,6 +306,13 @@
     this->admit(*std::move(request), reply);
 }
 
+void GatewayTask::Private::recordAbandoned(const HttpRequest &received)
+{
+    const std::optional<ForwardRequest> request = this->context.dialect.decode(received);
+    logLine(LogLevel::Warning, "request-abandoned", {{"request", request ? request->id : std::string()}, {"why", "caller-left-unread"}});
+    this->context.metrics.count("requests_abandoned_total", "caller-left-unread");
+}
+
 void GatewayTask::Private::admit(ForwardRequest request, const std::shared_ptr<HttpReply> &reply)
 {
     this->context.retries.setGateways(this->context.view->gateways());
--- a/Apricothead/src/Gateway/ServingView.cpp
+++ b/Apricothead/src/Gateway/ServingView.cpp
@@ -16,9 +16,13 @@
 /** Heartbeats to the leader, which shares this gateway's load with the others. At this interval replays with 29 gateways have a third fewer late
  * answers. */
 constexpr std::chrono::milliseconds LeaderHeartbeatInterval{100};
+/** Heartbeats to the other replicas while the leader confirms leases; without a leader all replicas get them at HeartbeatInterval. They bring the
+ * serving state and announcements that the leader failed to send. */
+constexpr std::uint64_t FollowerHeartbeatIntervalMs = 900;
 /** A replica that has confirmed no lease for this long is not taken for the leader; loads then go to all replicas. */
 constexpr std::uint64_t LeaderTimeoutMs = 1000;
-/** Interval of requests for the full list of announcements. A replica that restarted sends no changes of endpoints that it no longer knows. */
+/** Interval of comparing digests of the announcements with each replica. One that restarted sends no changes of endpoints that it no longer
+ * knows. */
 constexpr std::uint64_t FullListIntervalMs = 3000;
 /** Lease rounds remembered; a confirmation of an older one is ignored. */
 constexpr std::size_t MaxRounds = 128;
@@ -67,6 +71,10 @@
                                                            [this](const std::string &replica, Wire::Heartbeat &heartbeat) {
                                                                this->completeHeartbeat(replica, heartbeat);
                                                            },
+                                                       .isHeartbeatDue =
+                                                           [this](const std::string &replica) {
+                                                               return this->isHeartbeatDue(replica);
+                                                           },
                                                        .followMembers = true,
                                                    });
     this->leaderHeartbeatTimer.startRepeating(LeaderHeartbeatInterval);
@@ -86,6 +94,16 @@
     }
 }
 
+bool ServingView::isHeartbeatDue(const std::string &replica) const
+{
+    const auto sent = this->lastHeartbeatMs.find(replica);
+    if (!this->hasLeader() || sent == this->lastHeartbeatMs.end()) {
+        return true;
+    }
+    // The leader's heartbeats have a timer of their own.
+    return replica != this->leader && bootTimeMs() - sent->second >= FollowerHeartbeatIntervalMs;
+}
+
 void ServingView::completeHeartbeat(const std::string &replica, Wire::Heartbeat &heartbeat)
 {
     heartbeat.set_serving_number(this->state.number());
@@ -96,10 +114,14 @@
         this->roundSentMs.erase(this->roundSentMs.begin());
     }
     const std::uint64_t nowMs = bootTimeMs();
+    this->lastHeartbeatMs[replica] = nowMs;
     const auto [lastRequest, isFirst] = this->lastListRequestMs.try_emplace(replica, nowMs);
     const bool isListDue = isFirst || nowMs - lastRequest->second >= FullListIntervalMs;
     lastRequest->second = isListDue ? nowMs : lastRequest->second;
-    heartbeat.set_wants_announcements(isListDue || this->unlistedReplicas.contains(replica));
+    if (isListDue || this->unlistedReplicas.contains(replica)) {
+        heartbeat.set_wants_announcements(true);
+        heartbeat.set_announcement_digest(this->announcements.digest(replica));
+    }
     for (Wire::VersionCount &count : this->options.versionCounts()) {
         heartbeat.add_versions()->Swap(&count);
     }
@@ -110,6 +132,7 @@
     }
     const std::vector<std::uint64_t> held = this->options.heldSessions();
     heartbeat.mutable_held_sessions()->Add(held.begin(), held.end());
+    this->ownReports.record(this->lastRound, heartbeat.loads(), heartbeat.held_sessions());
 }
 
 void ServingView::handleUpdate(const std::string &replica, const Wire::ClusterUpdate &update)
@@ -147,24 +170,25 @@
 
 void ServingView::applyAnnouncements(const std::string &replica, const Wire::ClusterUpdate &update)
 {
+    if (update.all_announcements() || update.announcements_current()) {
+        this->unlistedReplicas.erase(replica);
+    }
     if (update.announcements_size() == 0 && !update.all_announcements()) {
         return;
     }
     const std::vector<Wire::EndpointAnnouncement> listed(update.announcements().begin(), update.announcements().end());
-    if (update.all_announcements()) {
-        this->unlistedReplicas.erase(replica);
-    }
     const auto changed = update.all_announcements() ? this->announcements.applyFullList(replica, listed) : this->announcements.applyUpdate(replica, listed);
-    for (const Wire::EndpointAnnouncement &announcement : changed) {
-        this->options.onAnnouncement(announcement);
+    if (!changed.empty()) {
+        this->options.onAnnouncements(changed);
     }
 }
 
 void ServingView::confirmLease(const Wire::ClusterUpdate &update)
 {
     this->gatewayCount = update.gateways();
-    this->options.onLoads({update.loads().begin(), update.loads().end()});
-    this->options.onHeldSessions({update.held_sessions().begin(), update.held_sessions().end()});
+    this->ownReports.forgetBefore(update.load_round());
+    this->options.onLoads(this->ownReports.otherLoads(update.load_round(), update.loads()));
+    this->options.onHeldSessions(this->ownReports.otherSessions(update.load_round(), update.held_sessions()));
     const auto sent = this->roundSentMs.find(update.lease_round());
     const bool isUpToDate = this->state.number() >= update.serving_number();
     if (sent == this->roundSentMs.end() || !isUpToDate) {
--- a/Apricothead/src/Gateway/ServingView.h
+++ b/Apricothead/src/Gateway/ServingView.h
@@ -2,6 +2,7 @@
 
 #include "../Coordination/Shared/AnnouncementView.h"
 #include "../Coordination/Shared/ReplicaClient.h"
+#include "../Decisions/LoadTotals.h"
 #include "../Decisions/PlanIndex.h"
 #include "../Protocol/Settings.h"
 #include "../Transport/Timer.h"
@@ -25,8 +26,8 @@
     Settings settings;
     /** A newer plan or changed roll-outs are in force at this gateway. */
     std::function<void(const Wire::ServingState &)> onServingState;
-    /** The merged announcement of an endpoint changed. */
-    std::function<void(const Wire::EndpointAnnouncement &)> onAnnouncement;
+    /** The merged announcements that one update of a replica changed. */
+    std::function<void(const std::vector<Wire::EndpointAnnouncement> &)> onAnnouncements;
     /** \returns this gateway's counts of requests and responses by version */
     std::function<std::vector<Wire::VersionCount>()> versionCounts;
     /** \returns the load that this gateway has placed on endpoints */
@@ -71,6 +72,7 @@
     void confirmLease(const Wire::ClusterUpdate &update);
     bool hasLeader() const;
     void sendLeaderHeartbeat();
+    bool isHeartbeatDue(const std::string &replica) const;
     void completeHeartbeat(const std::string &replica, Wire::Heartbeat &heartbeat);
 
     ServingViewOptions options;
@@ -81,12 +83,15 @@
     std::shared_ptr<const PlanIndex> planIndex;
     Wire::ServingState state;
     AnnouncementView announcements;
-    /** Connected replicas that have not sent their full list of announcements yet. */
+    /** Connected replicas that have neither sent their full list of announcements yet nor confirmed that it is known. */
     std::set<std::string> unlistedReplicas;
-    /** When the full list was last requested, by replica. */
+    /** When the full list or a confirmation was last requested, by replica. */
     std::map<std::string, std::uint64_t> lastListRequestMs;
     /** When the heartbeat of each lease round was sent. */
     std::map<std::uint64_t, std::uint64_t> roundSentMs;
+    /** When the last heartbeat was made, by replica. */
+    std::map<std::string, std::uint64_t> lastHeartbeatMs;
+    OwnReports ownReports;
     std::uint64_t lastRound = 0;
     /** When the newest confirmed heartbeat was sent; 0 before the first confirmation. */
     std::uint64_t confirmedMs = 0;
--- a/Apricothead/src/Transport/Dealer.cpp
+++ b/Apricothead/src/Transport/Dealer.cpp
@@ -56,8 +56,6 @@
         native.set(zmq::sockopt::sndhwm, this->options.queueLimit);
         native.set(zmq::sockopt::reconnect_ivl, static_cast<int>(ReconnectInterval.count()));
         native.set(zmq::sockopt::reconnect_ivl_max, static_cast<int>(ReconnectIntervalMax.count()));
-        native.set(zmq::sockopt::heartbeat_ivl, static_cast<int>(this->options.heartbeat.count()));
-        native.set(zmq::sockopt::heartbeat_timeout, static_cast<int>(this->options.silence.count()));
         this->openMonitor(native);
         native.connect("tcp://" + this->options.address);
         this->socket->watch();
--- a/Apricothead/src/Transport/HttpServer.cpp
+++ b/Apricothead/src/Transport/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <ev++.h>
+#include <poll.h>
 #include <set>
 #include <stdexcept>
 #include <unistd.h>
@@ -193,6 +194,12 @@
             return this->takeBody(*exchange, upload) ? MHD_YES : MHD_NO;
         }
         exchange->isServed = true;
+        if (Private::hasPeerClosed(connection)) {
+            if (this->options.onAbandoned) {
+                this->options.onAbandoned(exchange->request);
+            }
+            return MHD_NO;
+        }
         if (exchange->isOversized) {
             return this->refuse(*exchange, PayloadTooLarge);
         }
@@ -284,6 +291,20 @@
         }
     }
 
+    /** \returns those of \a events that the connection's socket is ready for, and its errors */
+    static int readyEvents(MHD_Connection *connection, int events)
+    {
+        const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        pollfd watched{.fd = info == nullptr ? -1 : info->connect_fd, .events = static_cast<short>(events), .revents = 0};
+        return poll(&watched, 1, 0) > 0 ? watched.revents : 0;
+    }
+
+    /** \returns true when the caller has closed its side. A process that was held up may read a request long after that. */
+    static bool hasPeerClosed(MHD_Connection *connection)
+    {
+        return (Private::readyEvents(connection, POLLRDHUP) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    }
+
     /** A sender of single bytes is never idle: it gets a bound on the whole request. */
     void closeSlowSenders()
     {
@@ -305,7 +326,9 @@
         }
         const std::uint64_t now = this->loop.nowMs();
         for (const auto &[connection, since] : this->readingSince) {
-            if (busy.contains(connection) || now - since < idleMs) {
+            // Bytes that were not read yet are a request: a process that was held up finds them late.
+            const bool isIdle = !busy.contains(connection) && now - since >= idleMs && (Private::readyEvents(connection, POLLIN) & POLLIN) == 0;
+            if (!isIdle) {
                 continue;
             }
             Private::shutDown(connection);
--- a/test/directendpoints.cpp
+++ b/test/directendpoints.cpp
@@ -67,6 +67,25 @@
     BOOST_TEST(spilled->reason == "spill");
 }
 
+BOOST_AUTO_TEST_CASE(manyAnnouncementsRebuildTheGroupsOnce)
+{
+    constexpr unsigned Endpoints = 117;
+    Pool endpoints(Endpoints);
+    BOOST_TEST(endpoints.choose(query(), 0).has_value());
+    BOOST_TEST(endpoints.rebuilds() == 1U);
+    endpoints.choose(query(), 1);
+    BOOST_TEST(endpoints.rebuilds() == 1U);
+    // A roll-out: the same number of endpoints with another version.
+    std::vector<Wire::EndpointAnnouncement> added;
+    for (unsigned number = 0; number < Endpoints; ++number) {
+        added.push_back(endpoint(std::to_string(Endpoints + number), "v2"));
+    }
+    endpoints.applyAnnouncements(added);
+    endpoints.choose(query(), 2);
+    BOOST_TEST(endpoints.rebuilds() == 2U);
+    BOOST_TEST(endpoints.readyCount("pool") == 2 * Endpoints);
+}
+
 BOOST_AUTO_TEST_CASE(leavingAndUnknownEndpointsReceiveNoRequests)
 {
     Pool endpoints(1);
