--- a/Apricothead/src/Gateway/EventSplitter.cpp
+++ b/Apricothead/src/Gateway/EventSplitter.cpp
@@ -55,6 +55,11 @@
     return this->start < this->pending.size();
 }
 
+std::size_t EventSplitter::size() const
+{
+    return this->pending.size() - this->start;
+}
+
 void EventSplitter::clear()
 {
     this->pending.clear();
--- a/Apricothead/src/Gateway/EventSplitter.h
+++ b/Apricothead/src/Gateway/EventSplitter.h
@@ -34,6 +34,9 @@
     /** \returns true when the buffer holds part of an event */
     bool hasPartialEvent() const;
 
+    /** \returns the number of buffered bytes, which include events not yet taken */
+    std::size_t size() const;
+
     /** Discards the buffer before another stream is read. */
     void clear();
 
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -24,8 +24,6 @@
 constexpr milliseconds ConnectTimeout{450};
 /** Closes a connection whose state a middlebox has dropped: sent bytes remain unacknowledged. */
 constexpr milliseconds UnacknowledgedTimeout{1200};
-/** Interval of checks for a silent endpoint. */
-constexpr milliseconds ProgressCheckInterval{150};
 /** A repeatable request is retried at another endpoint after this many latency objectives without a response. */
 constexpr unsigned MaxSilentObjectives = 3;
 /** A stream overtaken by later requests is retried elsewhere after the latency objective divided by this without a first event. */
@@ -64,18 +62,15 @@
     , plan(std::move(givenPlan))
     , route(*givenRoute)
     , organisation(givenOrganisation)
-    , deadlineTimer(context.loop,
-                    [this] {
-                        this->timeOut("deadline");
-                    })
-    , progressTimer(context.loop, [this] {
-        this->checkProgress();
+    , deadlineTimer(context.loop, [this] {
+        this->timeOut("deadline");
     })
 { }
 
 ForwardRun::~ForwardRun()
 {
     *this->alive = false;
+    this->context.progressChecks.remove(this);
 }
 
 std::uint64_t ForwardRun::now() const
@@ -114,7 +109,9 @@
         }
     });
     this->deadlineTimer.startOnce(milliseconds(waitMs));
-    this->progressTimer.startRepeating(ProgressCheckInterval);
+    this->context.progressChecks.add(this, [this] {
+        this->checkProgress();
+    });
     this->dispatch();
 }
 
@@ -279,13 +276,19 @@
 void ForwardRun::handleData(std::string_view bytes)
 {
     Attempt &current = *this->attempt;
-    current.lastReceivedMs = this->now();
-    if (!this->isStreaming() || !ForwardRun::isSuccess(current.head)) {
+    const bool isPlain = !this->isStreaming() || !ForwardRun::isSuccess(current.head);
+    if (isPlain) {
+        current.lastReceivedMs = this->now();
         current.body.append(bytes);
-        return;
+    } else {
+        current.events.append(bytes);
+        this->forwardEvents();
+    }
+    // forwardEvents() may have ended the attempt.
+    const bool isEndless = this->attempt.get() == &current && std::max(current.body.size(), current.events.size()) > this->context.settings.maxAnswerBytes;
+    if (isEndless) {
+        this->failAttempt(AttemptOutcome::Incomplete, Verdict::MayHaveRun, "answer-too-long");
     }
-    current.events.append(bytes);
-    this->forwardEvents();
 }
 
 void ForwardRun::forwardEvents()
@@ -308,6 +311,8 @@
         return false;
     }
     this->recordAnswer(false);
+    // Only whole events are progress: single bytes would keep a stalled stream alive.
+    this->attempt->lastReceivedMs = this->now();
     if (!this->isStreamStarted) {
         this->isStreamStarted = true;
         this->firstEventMs = this->now();
@@ -520,7 +525,7 @@
         return;
     }
     this->deadlineTimer.stop();
-    this->progressTimer.stop();
+    this->context.progressChecks.remove(this);
     const bool isServed = status >= StatusOk && status < StatusRedirect && (reason == "whole" || reason == "endpoint");
     logLine(isServed ? LogLevel::Info : LogLevel::Warning,
             "request-ended",
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -48,6 +48,7 @@
         std::string body;
         EventSplitter events;
         std::uint64_t startedMs = 0;
+        /** When the head, bytes of a plain answer or a whole event of a stream last arrived. */
         std::uint64_t lastReceivedMs = 0;
     };
 
@@ -105,7 +106,6 @@
     std::uint64_t arrivedMs = 0;
     std::uint64_t deadlineMs = 0;
     Timer deadlineTimer;
-    Timer progressTimer;
     std::unique_ptr<Attempt> attempt;
     std::vector<std::unique_ptr<Attempt>> endedAttempts;
     std::vector<std::string> triedEndpoints;
--- a/Apricothead/src/Gateway/GatewayContext.h
+++ b/Apricothead/src/Gateway/GatewayContext.h
@@ -12,7 +12,9 @@
 #include "../Protocol/Settings.h"
 #include "../Transport/EventLoop.h"
 #include "../Transport/HttpClient.h"
+#include "../Transport/Ticker.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 
@@ -20,6 +22,9 @@
 
 class ForwardRun;
 
+/** Interval of checks for silent endpoints. */
+constexpr std::chrono::milliseconds ProgressCheckInterval{150};
+
 /** \class GatewayContext
  * \ingroup Gateway_Module
  * \brief State shared by all runs of one gateway.
@@ -36,6 +41,8 @@
     VersionCounts versionCounts;
     Metrics metrics;
     std::unique_ptr<ServingView> view;
+    /** Progress checks of the runs. */
+    Ticker progressChecks{loop, ProgressCheckInterval};
     /** Called when a run has ended and may be destroyed. */
     std::function<void(const ForwardRun *)> onEnded;
 };
--- a/Apricothead/src/Protocol/Settings.h
+++ b/Apricothead/src/Protocol/Settings.h
@@ -138,6 +138,8 @@
     std::string readyAddress;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     std::size_t maxHeaderBytes = 32 * 1024;
+    /** Bound on an endpoint's plain answer, and on one event of a stream. A longer one is broken off and not forwarded. */
+    std::size_t maxAnswerBytes = 1024 * 1024;
     /** A key that was taken away is refused everywhere after this time. */
     std::chrono::milliseconds revocation{5000};
     /** Requests of one session that follow each other within this time belong together. */
--- a/Apricothead/src/Protocol/SettingsReader.cpp
+++ b/Apricothead/src/Protocol/SettingsReader.cpp
@@ -181,6 +181,7 @@
     readValue(object, "readyAddress", gateway.readyAddress);
     readValue(object, "maxBodyBytes", gateway.maxBodyBytes);
     readValue(object, "maxHeaderBytes", gateway.maxHeaderBytes);
+    readValue(object, "maxAnswerBytes", gateway.maxAnswerBytes);
     readDuration(object, "revocationMs", gateway.revocation);
     readSeconds(object, "sessionSeconds", gateway.session);
     readValue(object, "retryRatio", gateway.retryRatio);
--- a/Apricothead/src/Transport/HttpClient.h
+++ b/Apricothead/src/Transport/HttpClient.h
@@ -43,6 +43,8 @@
     bool keepConnection = false;
     /** Bytes sent and not acknowledged for this long break the connection; zero means the system's bound. */
     std::chrono::milliseconds unacknowledged{0};
+    /** Bound on all header lines together: interim answers, the head and trailers. A call that receives more ends, and its connection is closed. */
+    std::size_t maxHeadBytes = 64 * 1024;
     /** May drop the HttpCall: the connection is closed then. */
     std::function<void(unsigned status, const HttpHeaders &headers)> onHead;
     std::function<void(std::string_view)> onData;
--- a/Apricothead/src/Transport/HttpTransfer.cpp
+++ b/Apricothead/src/Transport/HttpTransfer.cpp
@@ -144,6 +144,10 @@
     if (transfer->isCancelled) {
         return 0;
     }
+    transfer->headBytes += size * count;
+    if (transfer->headBytes > transfer->options.maxHeadBytes) {
+        return 0;
+    }
     transfer->lastByteAt = transfer->loop.nowMs();
     transfer->takeHeaderLine({bytes, size * count});
     return transfer->isCancelled ? 0 : size * count;
--- a/Apricothead/src/Transport/HttpTransfer.h
+++ b/Apricothead/src/Transport/HttpTransfer.h
@@ -72,6 +72,7 @@
     std::uint64_t lastByteAt = 0;
     unsigned status = 0;
     unsigned sendings = 0;
+    std::size_t headBytes = 0;
     bool isHeadDone = false;
     bool isPaused = false;
     bool isCancelled = false;
--- /dev/null
+++ b/Apricothead/src/Transport/Ticker.cpp
@@ -0,0 +1,47 @@
+#include "Ticker.h"
+
+#include <utility>
+#include <vector>
+
+namespace Apricothead {
+
+Ticker::Ticker(EventLoop &loop, std::chrono::milliseconds givenInterval)
+    : interval(givenInterval), timer(loop, [this] {
+        this->callHooks();
+    })
+{ }
+
+void Ticker::add(const void *key, std::function<void()> hook)
+{
+    this->hooks.insert_or_assign(key, std::move(hook));
+    if (!this->timer.isActive()) {
+        this->timer.startRepeating(this->interval);
+    }
+}
+
+void Ticker::remove(const void *key)
+{
+    this->hooks.erase(key);
+    if (this->hooks.empty()) {
+        this->timer.stop();
+    }
+}
+
+void Ticker::callHooks()
+{
+    std::vector<const void *> keys;
+    for (const auto &[key, hook] : this->hooks) {
+        keys.push_back(key);
+    }
+    for (const void *key : keys) {
+        const auto found = this->hooks.find(key);
+        if (found == this->hooks.end()) {
+            continue;
+        }
+        // A copy: the hook may remove itself.
+        const std::function<void()> hook = found->second;
+        hook();
+    }
+}
+
+} // namespace Apricothead
--- a/test/forwardrun.cpp
+++ b/test/forwardrun.cpp
@@ -12,9 +12,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <map>
 #include <optional>
 #include <sstream>
+#include <thread>
 
 using namespace Apricothead;
 using namespace Apricothead::Test;
@@ -548,3 +550,130 @@
         BOOST_TEST(count == 1U, id);
     }
 }
+
+BOOST_AUTO_TEST_CASE(endlessHeadsAndBodiesAreBrokenOff)
+{
+    constexpr std::size_t BlockBytes = 16 * 1024;
+    const std::string block(BlockBytes, 'x');
+    const auto plainHead = [](const std::string &head) {
+        return "HTTP/1.1 200 OK\r\nid: " + headerOf(head, "id") + "\r\nsigned: yes\r\n\r\n";
+    };
+    struct EndlessCase {
+        std::string name;
+        Wire::RepeatRule rule;
+        std::function<std::string(const std::string &head)> start;
+        std::function<std::string(unsigned number)> more;
+    };
+    const std::vector<EndlessCase> cases{
+        {"header lines",
+         Wire::REPEAT_RULE_ONCE,
+         [](const std::string &) {
+             return std::string("HTTP/1.1 200 OK\r\n");
+         },
+         [](unsigned number) {
+             return "x-" + std::to_string(number) + ": " + std::string(1000, 'x') + "\r\n";
+         }},
+        {"one header line",
+         Wire::REPEAT_RULE_ONCE,
+         [](const std::string &) {
+             return std::string("HTTP/1.1 200 OK\r\nx: ");
+         },
+         [&block](unsigned) {
+             return block;
+         }},
+        {"interim answers",
+         Wire::REPEAT_RULE_ONCE,
+         [](const std::string &) {
+             return std::string();
+         },
+         [](unsigned) {
+             return std::string("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n");
+         }},
+        {"body",
+         Wire::REPEAT_RULE_ONCE,
+         plainHead,
+         [&block](unsigned) {
+             return block;
+         }},
+        {"event",
+         Wire::REPEAT_RULE_STREAM,
+         plainHead,
+         [&block](unsigned) {
+             return block;
+         }},
+        {"trailers",
+         Wire::REPEAT_RULE_ONCE,
+         [](const std::string &head) {
+             return streamHead(head) + "0\r\n";
+         },
+         [](unsigned number) {
+             return "x-" + std::to_string(number) + ": " + std::string(1000, 'x') + "\r\n";
+         }},
+    };
+    for (const EndlessCase &endless : cases) {
+        BOOST_TEST_CONTEXT(endless.name)
+        {
+            std::atomic<std::size_t> sentBytes = 0;
+            ScriptedEndpoint endpoint([&](ScriptedConnection &connection, const std::string &head) {
+                connection.send(endless.start(head));
+                constexpr std::size_t EnoughBytes = 64 * 1024 * 1024;
+                for (unsigned number = 0; sentBytes < EnoughBytes; ++number) {
+                    const std::string bytes = endless.more(number);
+                    if (!connection.trySend(bytes)) {
+                        return;
+                    }
+                    sentBytes += bytes.size();
+                }
+            });
+            GatewayFixture gateway(endless.rule, 1);
+            gateway.announce("one", endpoint.address());
+            const auto reply = gateway.request("r1");
+            BOOST_TEST(reply->status == 502U);
+            BOOST_TEST(reply->body.find("xxx") == std::string::npos);
+            // Socket buffers of a few MB are beyond the bound on an answer.
+            constexpr std::size_t MaxSentBytes = 16 * 1024 * 1024;
+            BOOST_TEST(sentBytes < MaxSentBytes);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(streamOfSingleBytesIsStalled)
+{
+    std::atomic<unsigned> requests = 0;
+    ScriptedEndpoint endpoint([&requests](ScriptedConnection &connection, const std::string &head) {
+        connection.send(streamHead(head));
+        if (++requests > 1) {
+            connection.send(chunk(event(2)) + LastChunk);
+            return;
+        }
+        connection.send(chunk(event(1)));
+        while (connection.trySend(chunk("x"))) {
+            std::this_thread::sleep_for(milliseconds(100));
+        }
+    });
+    GatewayFixture gateway(Wire::REPEAT_RULE_STREAM, 2, 7000);
+    gateway.announce("one", endpoint.address());
+    gateway.announce("two", endpoint.address());
+    const auto reply = gateway.request("r1");
+    BOOST_TEST(requests == 2U);
+    BOOST_TEST(reply->body == event(1) + event(2));
+}
+
+BOOST_AUTO_TEST_CASE(slowButSoundStreamIsNotCut)
+{
+    constexpr unsigned Events = 5;
+    ScriptedEndpoint endpoint([](ScriptedConnection &connection, const std::string &head) {
+        connection.send(streamHead(head));
+        for (unsigned number = 1; number <= Events; ++number) {
+            std::this_thread::sleep_for(milliseconds(1000));
+            connection.send(chunk(event(number)));
+        }
+        connection.send(LastChunk);
+    });
+    GatewayFixture gateway(Wire::REPEAT_RULE_STREAM, 2, 7000);
+    gateway.announce("one", endpoint.address());
+    gateway.announce("two", endpoint.address());
+    const auto reply = gateway.request("r1");
+    BOOST_TEST(reply->body == event(1) + event(2) + event(3) + event(4) + event(5));
+    BOOST_TEST(endpoint.requests().size() == 1U);
+}
--- a/test/scriptedendpoint.h
+++ b/test/scriptedendpoint.h
@@ -26,6 +26,12 @@
         ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
 
+    /** \returns false when the peer has closed the connection */
+    bool trySend(const std::string &bytes) const
+    {
+        return ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) >= 0;
+    }
+
     /** Closes the connection normally. */
     void close()
     {
--- a/test/transport.cpp
+++ b/test/transport.cpp
@@ -6,6 +6,7 @@
 #include <Apricothead/Transport>
 
 #include <arpa/inet.h>
+#include <map>
 #include <memory>
 #include <netinet/in.h>
 #include <string>
@@ -495,6 +496,77 @@
     }));
 }
 
+BOOST_FIXTURE_TEST_CASE(unreadRequestIsNotIdle, Fixture)
+{
+    auto server = this->serve([&](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+        reply->send(200, {}, "whole");
+    });
+    RawConnection connection(server->boundAddress());
+    BOOST_REQUIRE(runUntil(this->loop, [&] {
+        return server->openConnections() == 1;
+    }));
+    // A stop: the request arrives while the loop is held up, then idle connections are closed before it is read.
+    server->closeAfterAnswers();
+    connection.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    server->closeIdle(milliseconds(0));
+    BOOST_TEST(runUntil(this->loop, [&] {
+        connection.receive();
+        return connection.received.find("whole") != std::string::npos || connection.isClosed;
+    }));
+    BOOST_TEST(connection.received.find("whole") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(requestOfACallerThatHasLeftIsNotServed, Fixture)
+{
+    unsigned served = 0;
+    std::vector<std::string> abandoned;
+    const HttpServer server(this->loop,
+                            {
+                                .address = "127.0.0.1:0",
+                                .onRequest =
+                                    [&](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+                                        ++served;
+                                        reply->send(200, {}, "whole");
+                                    },
+                                .onAbandoned =
+                                    [&](const HttpRequest &request) {
+                                        abandoned.push_back(request.path);
+                                    },
+                            });
+    // Everything arrives while the loop is held up.
+    RawConnection left(server.boundAddress());
+    left.send("POST /left HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody");
+    left.close();
+    RawConnection waiting(server.boundAddress());
+    waiting.send("GET /waiting HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(runUntil(this->loop, [&] {
+        waiting.receive();
+        return waiting.received.find("whole") != std::string::npos && !abandoned.empty();
+    }));
+    BOOST_TEST(served == 1U);
+    BOOST_TEST(abandoned == std::vector<std::string>{"/left"}, boost::test_tools::per_element());
+}
+
+BOOST_FIXTURE_TEST_CASE(tickerServesAllHooksWithOneTimer, Fixture)
+{
+    Ticker ticker(this->loop, milliseconds(10));
+    std::map<int, unsigned> calls;
+    for (const int key : {1, 2, 3}) {
+        ticker.add(&calls[key], [&calls, &ticker, key] {
+            ++calls[key];
+            if (key == 1) {
+                ticker.remove(&calls[1]);
+                ticker.remove(&calls[2]);
+            }
+        });
+    }
+    BOOST_TEST(runUntil(this->loop, [&] {
+        return calls[3] >= 3;
+    }));
+    BOOST_TEST(calls[1] == 1U);
+    BOOST_TEST(calls[2] <= 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(clientEndsASilentCall, Fixture)
 {
     std::shared_ptr<HttpReply> pending;
