Each prompt is told to each gateway once

Cause: a gateway reported a prompt for 450 ms, so the leader sent it four or five times to each of 68 gateways, ten times a second; worked out, some 6 of the 9 KB of a confirmation, four fifths of them between zones.

--- a/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
+++ b/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
@@ -38,6 +38,9 @@
     gateway.versions.assign(heartbeat.versions().begin(), heartbeat.versions().end());
     gateway.loadRound = heartbeat.lease_round();
     gateway.loads.assign(heartbeat.loads().begin(), heartbeat.loads().end());
+    if (this->options.isLeader()) {
+        this->prompts.add(heartbeat.loads());
+    }
     gateway.heldSessions.assign(heartbeat.held_sessions().begin(), heartbeat.held_sessions().end());
     Wire::ClusterUpdate update;
     const bool isListCurrent = heartbeat.wants_announcements() && heartbeat.announcement_digest() == this->registry.digest();
@@ -213,6 +216,7 @@
         this->registry.resetSilence(nowMs);
     }
     this->lastMaintenanceMs = nowMs;
+    this->prompts.endRound();
     this->sendRelayedChanges();
     this->sendToGateways(this->registry.expire(nowMs));
     this->relayHeartbeats(nowMs);
@@ -242,6 +246,7 @@
         return true;
     }
     const std::string common = this->commonConfirmation();
+    std::map<std::uint64_t, std::string> promptsSince;
     for (const auto &[peer, round] : leaseRounds) {
         const auto gateway = this->gateways.find(peer);
         if (gateway == this->gateways.end()) {
@@ -251,7 +256,12 @@
         this->fillServing(gateway->second, update);
         update.set_lease_round(round);
         update.set_load_round(this->hasCurrentLoads(gateway->second) ? gateway->second.loadRound : 0);
-        this->options.send(peer, update, common);
+        const auto [prompts, isFirst] = promptsSince.try_emplace(gateway->second.promptRound);
+        if (isFirst) {
+            prompts->second = this->serialisedPromptsSince(gateway->second.promptRound);
+        }
+        gateway->second.promptRound = this->prompts.endedRounds();
+        this->options.send(peer, update, common + prompts->second);
     }
     return true;
 }
@@ -261,6 +271,13 @@
     return this->lastMaintenanceMs - std::min(this->lastMaintenanceMs, gateway.lastHeartbeatMs) <= MaxLoadAgeMs;
 }
 
+std::string ServingPublisher::serialisedPromptsSince(std::uint64_t round) const
+{
+    Wire::Envelope message;
+    this->prompts.appendSince(round, *message.mutable_update()->mutable_prompts());
+    return message.SerializeAsString();
+}
+
 std::string ServingPublisher::commonConfirmation() const
 {
     Wire::Envelope message;
--- a/Apricothead/src/Coordination/Replica/ServingPublisher.h
+++ b/Apricothead/src/Coordination/Replica/ServingPublisher.h
@@ -3,6 +3,7 @@
 #include "../Shared/AnnouncementRegistry.h"
 
 #include "../../Decisions/LoadTotals.h"
+#include "../../Decisions/PromptNews.h"
 #include "../../Protocol/Messages.h"
 #include "../../Transport/Router.h"
 
@@ -89,11 +90,14 @@
         std::vector<Wire::EndpointLoad> loads;
         /** Lease round of the heartbeat with these loads. */
         std::uint64_t loadRound = 0;
+        /** The prompts of the rounds up to this one have been sent to it. */
+        std::uint64_t promptRound = 0;
         std::vector<std::uint64_t> heldSessions;
     };
     bool hasCurrentLoads(const Gateway &gateway) const;
     /** \returns the part of a lease confirmation that is the same for all gateways, serialised */
     std::string commonConfirmation() const;
+    std::string serialisedPromptsSince(std::uint64_t round) const;
     void sendToGateways(const std::vector<Wire::EndpointAnnouncement> &changed);
     void publish(const std::vector<Wire::EndpointAnnouncement> &changed);
     void fillServing(Gateway &gateway, Wire::ClusterUpdate &update);
@@ -102,6 +106,7 @@
 
     ServingPublisherOptions options;
     AnnouncementRegistry registry;
+    PromptNews prompts;
     std::map<PeerId, Gateway> gateways;
     std::map<PeerId, std::uint64_t> pendingLeaseRounds;
     std::map<std::uint64_t, std::map<PeerId, std::uint64_t>> leaseReads;
--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Apricothead {
 namespace {
@@ -81,21 +82,18 @@
 DirectEndpoints::DirectEndpoints(DirectEndpointsOptions given) : options(std::move(given))
 { }
 
-std::vector<Wire::EndpointLoad> DirectEndpoints::ownLoads(std::uint64_t nowMs)
+std::vector<Wire::EndpointLoad> DirectEndpoints::takeOwnLoads()
 {
     std::vector<Wire::EndpointLoad> listed;
     for (auto &[name, endpoint] : this->known) {
-        while (!endpoint.recentPrefixes.empty() && endpoint.recentPrefixes.front().sentMs + this->options.publishedPrefixMs < nowMs) {
-            endpoint.recentPrefixes.pop_front();
-        }
-        if (endpoint.running == 0 && endpoint.recentPrefixes.empty()) {
+        if (endpoint.running == 0 && endpoint.unreportedPrefixes.empty()) {
             continue;
         }
         Wire::EndpointLoad &load = listed.emplace_back();
         load.set_endpoint(name);
         load.set_awaiting_ms(static_cast<std::uint32_t>(endpoint.pendingPrefillMs));
         load.set_running(static_cast<std::uint32_t>(endpoint.running));
-        for (const SentPrefix &sent : endpoint.recentPrefixes) {
+        for (const SentPrefix &sent : std::exchange(endpoint.unreportedPrefixes, {})) {
             load.add_prefixes(sent.prefix);
             load.add_prefix_tokens(static_cast<std::uint32_t>(sent.tokens));
         }
@@ -114,11 +112,20 @@
         if (found == this->known.end()) {
             continue;
         }
-        KnownEndpoint &endpoint = found->second;
-        endpoint.othersPendingPrefillMs = load.awaiting_ms();
-        endpoint.othersRunning = load.running();
-        for (int index = 0; index < std::min(load.prefixes_size(), load.prefix_tokens_size()); ++index) {
-            endpoint.cache.touch(load.prefixes(index), load.prefix_tokens(index));
+        found->second.othersPendingPrefillMs = load.awaiting_ms();
+        found->second.othersRunning = load.running();
+    }
+}
+
+void DirectEndpoints::recordOtherPrompts(const EndpointLoads &prompts)
+{
+    for (const Wire::EndpointLoad &sent : prompts) {
+        const auto found = this->known.find(sent.endpoint());
+        if (found == this->known.end()) {
+            continue;
+        }
+        for (int index = 0; index < std::min(sent.prefixes_size(), sent.prefix_tokens_size()); ++index) {
+            found->second.cache.touch(sent.prefixes(index), sent.prefix_tokens(index));
         }
     }
 }
@@ -381,7 +388,7 @@
     };
 }
 
-void DirectEndpoints::recordStart(const EndpointQuery &query, const EndpointChoice &choice, std::uint64_t nowMs)
+void DirectEndpoints::recordStart(const EndpointQuery &query, const EndpointChoice &choice)
 {
     KnownEndpoint &endpoint = this->findOrAdd(choice.endpoint);
     ++endpoint.running;
@@ -390,7 +397,7 @@
     // The shortest prefix is touched last, as it is used most often and should be evicted last.
     for (std::size_t index = prefixHashes.size(); index-- > 0;) {
         endpoint.cache.touch(prefixHashes[index], query.prompt[index].tokens);
-        endpoint.recentPrefixes.push_back({.prefix = prefixHashes[index], .tokens = query.prompt[index].tokens, .sentMs = nowMs});
+        endpoint.unreportedPrefixes.push_back({.prefix = prefixHashes[index], .tokens = query.prompt[index].tokens});
     }
 }
 
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "EndpointRing.h"
+#include "LoadTotals.h"
 #include "PrefixCacheEstimate.h"
 #include "VersionSplit.h"
 
 #include "../Protocol/Messages.h"
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -107,8 +107,6 @@
     /** Prompt tokens that an engine is assumed to keep in its cache. Lower than the memory of any engine in use, as running requests occupy a
      * part of it. */
     std::uint64_t cacheCapacityTokens = 350'000;
-    /** How long a prompt that was sent is reported to the other gateways: three heartbeat intervals and their transmission delay. */
-    std::uint64_t publishedPrefixMs = 450;
 };
 
 /** \class DirectEndpoints
@@ -137,13 +135,16 @@
     DirectEndpoints(const DirectEndpoints &) = delete;
     DirectEndpoints &operator=(const DirectEndpoints &) = delete;
 
-    /** \returns this gateway's load at each endpoint, with the prompts sent recently, to be reported to the other gateways. Endpoints with
+    /** \returns this gateway's load at each endpoint, with the prompts sent since the last call, to be reported to the other gateways. Endpoints with
      * neither are left out. */
-    std::vector<Wire::EndpointLoad> ownLoads(std::uint64_t nowMs);
+    std::vector<Wire::EndpointLoad> takeOwnLoads();
 
     /** Sets the total load of all other gateways; an endpoint that is not listed has none. */
     void setOtherLoads(const std::vector<Wire::EndpointLoad> &loads);
 
+    /** Records the prompts that other gateways sent, each reported once. */
+    void recordOtherPrompts(const EndpointLoads &prompts);
+
     void applyAnnouncement(const Wire::EndpointAnnouncement &announcement);
     void applyAnnouncements(const std::vector<Wire::EndpointAnnouncement> &announcements);
 
@@ -157,7 +158,7 @@
     std::optional<EndpointChoice> choose(const EndpointQuery &query, std::uint64_t nowMs) const;
 
     /** Records that an attempt was sent to the endpoint of \a choice. \sa recordEnd() */
-    void recordStart(const EndpointQuery &query, const EndpointChoice &choice, std::uint64_t nowMs);
+    void recordStart(const EndpointQuery &query, const EndpointChoice &choice);
     /** Records that the first event or the head of the answer arrived \a tookMs after the attempt was sent. */
     void recordAnswer(const EndpointChoice &choice, std::uint64_t tookMs, std::uint64_t nowMs);
     /** Records the end of an attempt. \a wasAnswered: whether recordAnswer() was called for it. */
@@ -177,7 +178,6 @@
     struct SentPrefix {
         std::uint64_t prefix = 0;
         std::uint64_t tokens = 0;
-        std::uint64_t sentMs = 0;
     };
     /** Load and health of one incarnation of an endpoint, as seen by this gateway. */
     struct EndpointStats {
@@ -191,8 +191,8 @@
         unsigned ejections = 0;
         double failedShare = 0;
         std::uint64_t ejectedUntilMs = 0;
-        /** Prompts sent within DirectEndpointsOptions::publishedPrefixMs, the oldest first. */
-        std::deque<SentPrefix> recentPrefixes;
+        /** Prompts sent since the last report, the oldest first. */
+        std::vector<SentPrefix> unreportedPrefixes;
         /** When the most recently sent request that has been answered was sent, by model. */
         std::map<std::string, std::uint64_t> lastAnsweredSentMs;
     };
--- a/Apricothead/src/Decisions/LoadTotals.cpp
+++ b/Apricothead/src/Decisions/LoadTotals.cpp
@@ -21,8 +21,6 @@
         Wire::EndpointLoad &sum = this->sums[load.endpoint()];
         sum.set_awaiting_ms(sum.awaiting_ms() + load.awaiting_ms());
         sum.set_running(sum.running() + load.running());
-        sum.mutable_prefixes()->MergeFrom(load.prefixes());
-        sum.mutable_prefix_tokens()->MergeFrom(load.prefix_tokens());
     }
 }
 
--- a/Apricothead/src/Decisions/LoadTotals.h
+++ b/Apricothead/src/Decisions/LoadTotals.h
@@ -22,6 +22,7 @@
 class LoadTotals
 {
 public:
+    /** Prompts are not summed. \sa PromptNews */
     void add(const std::vector<Wire::EndpointLoad> &loads);
 
     /** Appends the totals to \a loads, ordered by endpoint. */
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -192,7 +192,7 @@
     this->attempt->choice = choice;
     this->attempt->startedMs = this->now();
     this->attempt->lastReceivedMs = this->attempt->startedMs;
-    this->context.endpoints.recordStart(query, choice, this->now());
+    this->context.endpoints.recordStart(query, choice);
     this->context.versionSplit.recordStart(this->service, this->request.session, choice.version, this->now());
     this->context.versionCounts.recordStart(this->service, choice.version, this->route.name());
     logLine(LogLevel::Info,
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -135,14 +135,18 @@
                                                                [this] {
                                                                    return this->context.versionCounts.read();
                                                                },
-                                                           .ownLoads =
+                                                           .takeOwnLoads =
                                                                [this] {
-                                                                   return this->context.endpoints.ownLoads(this->context.loop.nowMs());
+                                                                   return this->context.endpoints.takeOwnLoads();
                                                                },
                                                            .onLoads =
                                                                [this](const std::vector<Wire::EndpointLoad> &loads) {
                                                                    this->context.endpoints.setOtherLoads(loads);
                                                                },
+                                                           .onPrompts =
+                                                               [this](const EndpointLoads &prompts) {
+                                                                   this->context.endpoints.recordOtherPrompts(prompts);
+                                                               },
                                                            .heldSessions =
                                                                [this] {
                                                                    return this->context.versionSplit.heldSessions(this->context.loop.nowMs());
--- a/Apricothead/src/Gateway/ServingView.cpp
+++ b/Apricothead/src/Gateway/ServingView.cpp
@@ -126,7 +126,7 @@
         heartbeat.add_versions()->Swap(&count);
     }
     if (replica == this->leader || !this->hasLeader()) {
-        for (Wire::EndpointLoad &load : this->options.ownLoads()) {
+        for (Wire::EndpointLoad &load : this->options.takeOwnLoads()) {
             heartbeat.add_loads()->Swap(&load);
         }
     }
@@ -188,6 +188,7 @@
     this->gatewayCount = update.gateways();
     this->ownReports.forgetBefore(update.load_round());
     this->options.onLoads(this->ownReports.otherLoads(update.load_round(), update.loads()));
+    this->options.onPrompts(update.prompts());
     this->options.onHeldSessions(this->ownReports.otherSessions(update.load_round(), update.held_sessions()));
     const auto sent = this->roundSentMs.find(update.lease_round());
     const bool isUpToDate = this->state.number() >= update.serving_number();
--- a/Apricothead/src/Gateway/ServingView.h
+++ b/Apricothead/src/Gateway/ServingView.h
@@ -30,10 +30,12 @@
     std::function<void(const std::vector<Wire::EndpointAnnouncement> &)> onAnnouncements;
     /** \returns this gateway's counts of requests and responses by version */
     std::function<std::vector<Wire::VersionCount>()> versionCounts;
-    /** \returns the load that this gateway has placed on endpoints */
-    std::function<std::vector<Wire::EndpointLoad>()> ownLoads;
+    /** \returns the load that this gateway has placed on endpoints, with the prompts sent since the last call */
+    std::function<std::vector<Wire::EndpointLoad>()> takeOwnLoads;
     /** The load of all other gateways, a few hundred ms old. */
     std::function<void(const std::vector<Wire::EndpointLoad> &)> onLoads;
+    /** The prompts that gateways have sent since the last call, those of this gateway included. */
+    std::function<void(const EndpointLoads &)> onPrompts;
     /** \returns the sessions that this gateway keeps on a former version. \sa VersionSplit::heldSessions() */
     std::function<std::vector<std::uint64_t>()> heldSessions;
     /** The sessions that all other gateways keep on a former version. */
