An endpoint id that cannot be passed on is refused

Cause: the id of a heartbeat comes from its path and was not checked. With bytes that are not UTF-8 it was accepted and relayed, and no process could parse a list with it: all announcements of that replica were lost with one malformed call.

--- a/test/platform.cpp
+++ b/test/platform.cpp
@@ -193,6 +193,18 @@
     BOOST_TEST(!readHeartbeat("i-1", "\x01\xfe").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(endpointIdThatCannotBePassedOnIsRejected)
+{
+    for (const std::string &id : {std::string(), std::string("\xff\xfe"), std::string("i 1"), std::string("i\x01"), std::string(300, 'i')}) {
+        BOOST_TEST(!readHeartbeat(id, heartbeat().dump()).has_value());
+    }
+    // In one list with such an id, no process could read any other announcement.
+    Wire::Announcements list;
+    *list.add_endpoints() = readHeartbeat("i-1", heartbeat().dump()).value();
+    list.add_endpoints()->set_endpoint("\xff\xfe");
+    BOOST_TEST(!Wire::Announcements().ParseFromString(list.SerializePartialAsString()));
+}
+
 BOOST_AUTO_TEST_CASE(startRolloutIsRead)
 {
     const auto read = readStartRollout(R"({"service":"pool","target":"v2","duration_s":12.5})");
