A relayed announcement does not follow a newer one

Cause, by reading the diff: a change that another replica received waits up to 100 ms for the maintenance; a newer one that reached this replica itself in between was sent first, and the older one, such as ready after leaving, after it.

Change: what is sent takes the waiting one of the same endpoint out. relayedChangeDoesNotFollowANewerOne fails without it.

--- a/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
+++ b/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
@@ -106,6 +106,8 @@
     }
     Wire::ClusterUpdate update;
     for (const Wire::EndpointAnnouncement &announcement : changed) {
+        // An older change that still waits must not follow a newer one.
+        this->relayedChanges.erase(announcement.endpoint());
         *update.add_announcements() = announcement;
         logLine(LogLevel::Info,
                 "endpoint-announced",
--- a/Apricothead/src/Gateway/ServingView.cpp
+++ b/Apricothead/src/Gateway/ServingView.cpp
@@ -23,7 +23,7 @@
 constexpr std::uint64_t LeaderTimeoutMs = 1000;
 /** Interval of comparing digests of the announcements with each replica. One that restarted sends no changes of endpoints that it no longer
  * knows. */
-constexpr std::uint64_t FullListIntervalMs = 3000;
+constexpr std::uint64_t ListCheckIntervalMs = 3000;
 /** Lease rounds remembered; a confirmation of an older one is ignored. */
 constexpr std::size_t MaxRounds = 128;
 
@@ -116,7 +116,7 @@
     const std::uint64_t nowMs = bootTimeMs();
     this->lastHeartbeatMs[replica] = nowMs;
     const auto [lastRequest, isFirst] = this->lastListRequestMs.try_emplace(replica, nowMs);
-    const bool isListDue = isFirst || nowMs - lastRequest->second >= FullListIntervalMs;
+    const bool isListDue = isFirst || nowMs - lastRequest->second >= ListCheckIntervalMs;
     lastRequest->second = isListDue ? nowMs : lastRequest->second;
     if (isListDue || this->unlistedReplicas.contains(replica)) {
         heartbeat.set_wants_announcements(true);
--- a/test/serving.cpp
+++ b/test/serving.cpp
@@ -326,6 +326,18 @@
     BOOST_TEST(this->sent.back().announcements(0).state() == Wire::ANNOUNCED_STATE_LEAVING);
 }
 
+BOOST_FIXTURE_TEST_CASE(relayedChangeDoesNotFollowANewerOne, PublisherFixture)
+{
+    Wire::Announcements relayed;
+    *relayed.add_endpoints() = announcement("i", 1);
+    this->publisher.handleRelayedAnnouncements(relayed, this->nowMs);
+    // The endpoint's next heartbeat reaches this replica itself.
+    this->publisher.handleAnnouncement(announcement("i", 2, Wire::ANNOUNCED_STATE_LEAVING), this->nowMs + 10);
+    this->publisher.runMaintenance(this->nowMs + 100);
+    BOOST_REQUIRE(this->sent.size() == 1U);
+    BOOST_TEST(this->sent.back().announcements(0).state() == Wire::ANNOUNCED_STATE_LEAVING);
+}
+
 // ---- Loads ----
 
 namespace {
