--- a/soak/FaultSeries.cpp
+++ b/soak/FaultSeries.cpp
@@ -10,6 +10,7 @@
 
 /** A process that is asked to end has this long before it is killed, as on the platform. */
 constexpr milliseconds StopGrace{8000};
+constexpr milliseconds HealInterval{20};
 constexpr unsigned LeastDownMs = 200;
 constexpr unsigned MostDownMs = 3000;
 constexpr unsigned LeastPauseMs = 300;
@@ -21,9 +22,36 @@
 
 } // namespace
 
-FaultSeries::FaultSeries(Cluster &target, std::uint64_t seed) : cluster(target), random(seed)
+FaultSeries::FaultSeries(Cluster &target, std::uint64_t seed)
+    : cluster(target), random(seed), healer([this] {
+        this->runHealer();
+    })
 { }
 
+FaultSeries::~FaultSeries()
+{
+    this->stopHealer();
+}
+
+void FaultSeries::runHealer()
+{
+    while (!this->isStopping) {
+        {
+            const std::lock_guard lock(this->mutex);
+            this->healDue(Clock::now());
+        }
+        std::this_thread::sleep_for(HealInterval);
+    }
+}
+
+void FaultSeries::stopHealer()
+{
+    this->isStopping = true;
+    if (this->healer.joinable()) {
+        this->healer.join();
+    }
+}
+
 std::string FaultSeries::drawn(const std::vector<std::string> &names)
 {
     return names[this->random() % names.size()];
@@ -42,7 +70,7 @@
 
 milliseconds FaultSeries::step()
 {
-    this->healDue(Clock::now());
+    const std::lock_guard lock(this->mutex);
     const bool isEntryDown = std::any_of(Entries.begin(), Entries.end(), [this](const std::string &name) {
         return this->active.contains(name);
     });
@@ -129,6 +157,7 @@
 
 void FaultSeries::healAll()
 {
+    this->stopHealer();
     this->healDue(Clock::time_point::max());
 }
 
--- a/soak/FaultSeries.h
+++ b/soak/FaultSeries.h
@@ -2,11 +2,14 @@
 
 #include "support/Cluster.h"
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <map>
+#include <mutex>
 #include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace Apricothead::Test {
@@ -20,14 +23,17 @@
 {
 public:
     FaultSeries(Cluster &cluster, std::uint64_t seed);
+    ~FaultSeries();
+    FaultSeries(const FaultSeries &) = delete;
+    FaultSeries &operator=(const FaultSeries &) = delete;
 
-    /** Starts a fault, or ends those whose time is over. \returns how long to wait before the next call */
+    /** Starts a fault. \returns how long to wait before the next call */
     std::chrono::milliseconds step();
 
-    /** Ends all faults. */
+    /** Ends all faults; none is to be started afterwards. */
     void healAll();
 
-    /** \returns what was done, a line each */
+    /** \returns what was done, a line each. To be called after healAll(). */
     const std::string &story() const;
 
 private:
@@ -36,6 +42,9 @@
         Clock::time_point until;
         std::function<void()> heal;
     };
+    /** Ends faults when their time is over, also while the caller of step() waits for an answer that a fault holds up. */
+    void runHealer();
+    void stopHealer();
     void healDue(Clock::time_point now);
     void harmProcess(const std::string &name);
     void harmLinks(const std::string &before);
@@ -46,9 +55,13 @@
     Cluster &cluster;
     std::mt19937_64 random;
     Clock::time_point start = Clock::now();
+    /** Guards \c active and \c told. */
+    std::mutex mutex;
     /** By process, or by what the relays stand before. */
     std::map<std::string, Active> active;
     std::string told;
+    std::atomic<bool> isStopping = false;
+    std::thread healer;
 };
 
 } // namespace Apricothead::Test
--- a/test/forwardrun.cpp
+++ b/test/forwardrun.cpp
@@ -554,7 +554,7 @@
 BOOST_AUTO_TEST_CASE(endlessHeadsAndBodiesAreBrokenOff)
 {
     constexpr std::size_t BlockBytes = 16 * 1024;
-    const std::string block(BlockBytes, 'x');
+    std::string block(BlockBytes, 'x');
     const auto plainHead = [](const std::string &head) {
         return "HTTP/1.1 200 OK\r\nid: " + headerOf(head, "id") + "\r\nsigned: yes\r\n\r\n";
     };
