--- a/test/serving.cpp
+++ b/test/serving.cpp
@@ -222,6 +222,7 @@
     std::size_t changes = 0;
     for (int round = 0; round < Rounds; ++round) {
         std::vector<Wire::EndpointAnnouncement> listed;
+        listed.reserve(Endpoints);
         for (int number = 0; number < Endpoints; ++number) {
             listed.push_back(announcement("i-" + std::to_string(number), static_cast<std::uint64_t>(round) + 1));
         }
