Fifty endless answers at once beside fifty sound ones

The stand-in's accept queue of 16 dropped connections of a hundred at once (three of four first runs: "unreachable" after the connect time-out); it is 128 now.

--- a/test/forwardrun.cpp
+++ b/test/forwardrun.cpp
@@ -12,10 +12,12 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <optional>
 #include <sstream>
+#include <sys/resource.h>
 #include <thread>
 
 using namespace Apricothead;
@@ -637,6 +639,56 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(endlessAnswersAtOnceAreBoundedAndOthersAreServed)
+{
+    constexpr unsigned Requests = 50;
+    constexpr std::size_t BlockBytes = 16 * 1024;
+    const auto peakKilobytes = [] {
+        rusage usage{};
+        getrusage(RUSAGE_SELF, &usage);
+        return usage.ru_maxrss;
+    };
+    ScriptedEndpoint endpoint([](ScriptedConnection &connection, const std::string &head) {
+        if (!headerOf(head, "id").starts_with("endless")) {
+            connection.send(signedResponse(head, "pole"));
+            return;
+        }
+        connection.send("HTTP/1.1 200 OK\r\nid: " + headerOf(head, "id") + "\r\nsigned: yes\r\n\r\n");
+        while (connection.trySend(std::string(BlockBytes, 'x'))) { }
+    });
+    GatewayFixture gateway(Wire::REPEAT_RULE_ONCE, 1);
+    gateway.announce("one", endpoint.address());
+    BOOST_TEST(gateway.request("warm")->status == 200U);
+    const long before = peakKilobytes();
+    std::vector<std::shared_ptr<RecordedReply>> endless;
+    std::vector<std::shared_ptr<RecordedReply>> sound;
+    for (unsigned number = 0; number < Requests; ++number) {
+        endless.push_back(gateway.start("endless-" + std::to_string(number)));
+        sound.push_back(gateway.start("sound-" + std::to_string(number)));
+    }
+    const auto areEnded = [](const std::vector<std::shared_ptr<RecordedReply>> &replies) {
+        return std::all_of(replies.begin(), replies.end(), [](const auto &reply) {
+            return reply->isEnded;
+        });
+    };
+    BOOST_TEST(runUntil(
+        gateway.loop,
+        [&] {
+            return areEnded(endless) && areEnded(sound);
+        },
+        MaxWait));
+    for (unsigned number = 0; number < Requests; ++number) {
+        BOOST_TEST(endless[number]->status == 502U);
+        BOOST_TEST(sound[number]->status == 200U);
+        BOOST_TEST(sound[number]->body == "pole");
+    }
+    // Twice the bound on an answer each, as its buffer grows by doubling.
+    const long bound = Requests * 2 * static_cast<long>(GatewaySettings().maxAnswerBytes / 1024);
+    const long grown = peakKilobytes() - before;
+    BOOST_TEST_MESSAGE("peak memory grew by " << grown << " KB");
+    BOOST_TEST(grown < bound);
+}
+
 BOOST_AUTO_TEST_CASE(streamOfSingleBytesIsStalled)
 {
     std::atomic<unsigned> requests = 0;
--- a/test/scriptedendpoint.h
+++ b/test/scriptedendpoint.h
@@ -63,7 +63,7 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        constexpr int Backlog = 16;
+        constexpr int Backlog = 128;
         socklen_t size = sizeof(address);
         const bool isListening = bind(this->listener, reinterpret_cast<sockaddr *>(&address), size) == 0 && listen(this->listener, Backlog) == 0
             && getsockname(this->listener, reinterpret_cast<sockaddr *>(&address), &size) == 0;
