Logs tell a decision by an outdated plan from a late end at a time-out

Adds revision, timeoutMs and heldMs, counts tookMs from the arrival, and adds the distribution timeout_overrun_ms. No decision changes.

--- a/Apricothead/src/Gateway/ForwardRequest.h
+++ b/Apricothead/src/Gateway/ForwardRequest.h
@@ -28,6 +28,8 @@
     std::string body;
     /** Remaining time until the caller gives up; nothing when it stated no deadline. */
     std::optional<std::uint64_t> callerTimeoutMs;
+    /** Time for which the gateway has held the request before admission; callerTimeoutMs is what is left after it. */
+    std::uint64_t heldMs = 0;
     /** The caller's API key; empty when there is none. */
     std::string key;
     /** Empty when the request names no model. */
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -527,6 +527,7 @@
     this->deadlineTimer.stop();
     this->context.progressChecks.remove(this);
     const bool isServed = status >= StatusOk && status < StatusRedirect && (reason == "whole" || reason == "endpoint");
+    const std::uint64_t tookMs = this->request.heldMs + this->now() - this->arrivedMs;
     logLine(isServed ? LogLevel::Info : LogLevel::Warning,
             "request-ended",
             {{"request", this->request.id},
@@ -538,9 +539,14 @@
              {"model", this->model},
              {"promptTokens", this->request.promptTokens},
              {"firstMs", this->firstEventMs == 0 ? 0 : this->firstEventMs - this->arrivedMs},
-             {"tookMs", this->now() - this->arrivedMs}});
+             {"heldMs", this->request.heldMs},
+             {"tookMs", tookMs},
+             {"timeoutMs", this->route.timeout_ms()}});
     this->context.metrics.count("requests_ended_total", this->route.name() + "," + std::to_string(status) + "," + reason);
-    this->context.metrics.observe("request_ms", this->route.name(), static_cast<double>(this->now() - this->arrivedMs));
+    this->context.metrics.observe("request_ms", this->route.name(), static_cast<double>(tookMs));
+    if (tookMs >= this->route.timeout_ms()) {
+        this->context.metrics.observe("timeout_overrun_ms", this->route.name(), static_cast<double>(tookMs - this->route.timeout_ms()));
+    }
     // Deferred: this function may be called from a callback of a call that the run owns.
     this->context.loop.post([this, token = this->alive] {
         if (*token) {
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -290,6 +290,7 @@
              {"status", static_cast<std::uint64_t>(status)},
              {"why", reason},
              {"returnMs", retryAfterMs},
+             {"revision", this->context.view->plan() ? this->context.view->plan()->revision() : 0},
              {"leaseAgeMs", this->context.view->leaseAgeMs()}});
     this->context.metrics.count("requests_refused_total", reason);
     reply->send(status, headers, "{\"error\":\"" + reason + "\"}");
--- a/Apricothead/src/Gateway/PendingRequests.cpp
+++ b/Apricothead/src/Gateway/PendingRequests.cpp
@@ -53,9 +53,11 @@
             this->requests.push_back(std::move(pending));
             continue;
         }
+        const std::uint64_t waitedMs = nowMs - pending.arrivedMs;
+        pending.request.heldMs += waitedMs;
         if (pending.request.callerTimeoutMs) {
             const std::uint64_t callerTimeoutMs = *pending.request.callerTimeoutMs;
-            pending.request.callerTimeoutMs = callerTimeoutMs - std::min(callerTimeoutMs, nowMs - pending.arrivedMs);
+            pending.request.callerTimeoutMs = callerTimeoutMs - std::min(callerTimeoutMs, waitedMs);
         }
         if (canAdmit) {
             this->options.admit(std::move(pending.request), pending.reply);
--- a/Apricothead/src/Gateway/PendingRequests.h
+++ b/Apricothead/src/Gateway/PendingRequests.h
@@ -18,7 +18,7 @@
 struct PendingRequestsOptions {
     /** \returns whether held requests can be admitted now */
     std::function<bool()> canAdmit;
-    /** Admits a held request; its callerTimeoutMs is reduced by the time waited. */
+    /** Admits a held request; the time waited is taken from its callerTimeoutMs and added to its heldMs. */
     std::function<void(ForwardRequest, const std::shared_ptr<HttpReply> &)> admit;
     /** Refuses a request whose hold time has expired. */
     std::function<void(const ForwardRequest &, const std::shared_ptr<HttpReply> &)> refuse;
