--- a/test/gatewaylease.cpp
+++ b/test/gatewaylease.cpp
@@ -56,7 +56,7 @@
     return server.boundAddress();
 }
 
-/** A leader that sends the gateway its state and confirms the lease while \c confirms is set. */
+/** A replica that sends the gateway its state and confirms the lease while \c confirms is set, as a leader does. */
 struct ScriptedLeader {
     explicit ScriptedLeader(EventLoop &loop)
         : router(loop, RouterOptions{.address = "127.0.0.1:0", .onMessage = [this](const PeerId &peer, std::string_view bytes) {
@@ -67,7 +67,8 @@
     void handleMessage(const PeerId &peer, std::string_view bytes)
     {
         Wire::Envelope message;
-        if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || !message.has_heartbeat() || !this->confirms) {
+        const bool isSilent = !this->confirms && !this->sendsUnconfirmedState;
+        if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || !message.has_heartbeat() || isSilent) {
             return;
         }
         Wire::Envelope reply;
@@ -77,15 +78,19 @@
             *update.mutable_serving() = this->state;
         }
         *update.add_announcements() = this->endpoint;
-        update.set_lease_round(message.heartbeat().lease_round());
-        update.set_serving_number(this->state.number());
-        update.set_gateways(1);
+        if (this->confirms) {
+            update.set_lease_round(message.heartbeat().lease_round());
+            update.set_serving_number(this->state.number());
+            update.set_gateways(1);
+        }
         this->router.send(peer, reply.SerializeAsString());
     }
 
     Wire::ServingState state = stateOf(1, {"one", "two"});
     Wire::EndpointAnnouncement endpoint;
     bool confirms = true;
+    /** Sends the state without confirmations, as a replica that is cut off from its leader does. */
+    bool sendsUnconfirmedState = false;
     Router router;
 };
 
@@ -215,3 +220,24 @@
     BOOST_TEST(this->ask("/none/x", "three") == 503U);
     BOOST_TEST(this->endpoint.requests().empty());
 }
+
+// A gateway that starts beside a replica with an outdated plan served keys revoked long before, and denied routes added since.
+BOOST_FIXTURE_TEST_CASE(startedGatewayDoesNotServeAKeyRevokedBeforeItsFirstLease, GatewayFixture)
+{
+    this->leader.confirms = false;
+    this->leader.sendsUnconfirmedState = true;
+    this->runFor(milliseconds(500));
+    BOOST_TEST(!this->isReady());
+    BOOST_TEST(this->ask("/keyed/x", "two") == 503U);
+    BOOST_TEST(this->ask("/keyed/x", "three") == 503U);
+    BOOST_TEST(this->ask("/none/x", "one") == 503U);
+    BOOST_TEST(this->endpoint.requests().empty());
+    // An open route needs no key; with a plan but no lease it is served at any time.
+    BOOST_TEST(this->ask("/open/x", {}) == 200U);
+
+    this->leader.state = stateOf(2, {"one"});
+    this->setConfirming(true);
+    BOOST_TEST(this->isReady());
+    BOOST_TEST(this->ask("/keyed/x", "two") == 401U);
+    BOOST_TEST(this->ask("/keyed/x", "one") == 200U);
+}
