A gateway holds no lease before its first confirmation

Cause: "no confirmation yet" was the largest std::uint64_t, and hasLease() added the margin of the lease to it. The sum wrapped to 799 ms, so a gateway without any confirmation had a lease for ever.

The fault is as old as the gateway.

The age is now absent before the first confirmation, so no arithmetic can take it for one, and only a confirmation starts a lease. Logs and metrics say -1. Without a confirmed lease such a gateway is not ready, holds requests for the usual time and then refuses them as not run; open routes are served as before.

--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -208,7 +208,7 @@
              {"attempt", static_cast<std::uint64_t>(this->sends)},
              {"leftMs", this->remainingMs()},
              {"revision", this->plan->revision()},
-             {"leaseAgeMs", this->context.view->leaseAgeMs()}});
+             {"leaseAgeMs", this->context.view->reportedLeaseAgeMs()}});
     this->attempt->call = this->context.client.start(this->callOptions(choice));
 }
 
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -10,7 +10,7 @@
 #include "../Transport/Timer.h"
 
 #include <algorithm>
-#include <limits>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -100,6 +100,8 @@
     void holdForLease(ForwardRequest request, const std::shared_ptr<HttpReply> &reply);
     void refuseForLease(const ForwardRequest &request, const std::shared_ptr<HttpReply> &reply);
     void refuse(const std::shared_ptr<HttpReply> &reply, const std::string &id, unsigned status, const std::string &reason, std::uint64_t retryAfterMs = 0);
+    /** \returns the age in ms at which a lease ends */
+    std::uint64_t leaseTermMs() const;
     bool hasLease() const;
     OutageQuery outageQuery(const ForwardRequest &request) const;
     std::vector<MetricLine> readMetrics();
@@ -214,7 +216,7 @@
     };
     const std::shared_ptr<const PlanIndex> plan = this->context.view->plan();
     gauge("plan_revision", {}, plan ? static_cast<double>(plan->revision()) : 0);
-    gauge("lease_age_ms", {}, this->hasLease() ? static_cast<double>(this->context.view->leaseAgeMs()) : -1);
+    gauge("lease_age_ms", {}, static_cast<double>(this->context.view->reportedLeaseAgeMs()));
     gauge("gateways", {}, this->context.view->gateways());
     gauge("requests_open", {}, static_cast<double>(this->runs.size()));
     gauge("requests_waiting", {}, static_cast<double>(this->pendingRequests.size()));
@@ -228,10 +230,16 @@
     return lines;
 }
 
-bool GatewayTask::Private::hasLease() const
+std::uint64_t GatewayTask::Private::leaseTermMs() const
 {
     const auto revocationMs = static_cast<std::uint64_t>(this->settings.gateway->revocation.count());
-    return this->context.view->plan() && this->context.view->leaseAgeMs() + LeaseMarginMs < revocationMs;
+    return revocationMs - std::min(revocationMs, LeaseMarginMs);
+}
+
+bool GatewayTask::Private::hasLease() const
+{
+    const std::optional<std::uint64_t> ageMs = this->context.view->leaseAgeMs();
+    return this->context.view->plan() && ageMs && *ageMs < this->leaseTermMs();
 }
 
 void GatewayTask::Private::answerReady(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply)
@@ -246,13 +254,10 @@
 
 OutageQuery GatewayTask::Private::outageQuery(const ForwardRequest &request) const
 {
-    const auto revocationMs = static_cast<std::uint64_t>(this->settings.gateway->revocation.count());
-    const std::uint64_t ageMs = this->context.view->leaseAgeMs();
-    const bool hadLease = ageMs != std::numeric_limits<std::uint64_t>::max();
-    const std::uint64_t outageMs = ageMs + LeaseMarginMs - std::min(ageMs + LeaseMarginMs, revocationMs);
+    const std::optional<std::uint64_t> ageMs = this->context.view->leaseAgeMs();
     return {
         .callerTimeoutMs = request.callerTimeoutMs.value_or(DefaultCallerTimeoutMs),
-        .outageMs = hadLease ? outageMs : this->context.loop.nowMs() - this->startedMs,
+        .outageMs = ageMs ? *ageMs - std::min(*ageMs, this->leaseTermMs()) : this->context.loop.nowMs() - this->startedMs,
         .draw = uniformHash(request.id),
     };
 }
@@ -265,7 +270,7 @@
         this->refuseForLease(request, reply);
         return;
     }
-    logLine(LogLevel::Info, "request-held", {{"request", id}, {"holdMs", holdMs}, {"leaseAgeMs", this->context.view->leaseAgeMs()}});
+    logLine(LogLevel::Info, "request-held", {{"request", id}, {"holdMs", holdMs}, {"leaseAgeMs", this->context.view->reportedLeaseAgeMs()}});
 }
 
 void GatewayTask::Private::refuseForLease(const ForwardRequest &request, const std::shared_ptr<HttpReply> &reply)
@@ -291,7 +296,7 @@
              {"why", reason},
              {"returnMs", retryAfterMs},
              {"revision", this->context.view->plan() ? this->context.view->plan()->revision() : 0},
-             {"leaseAgeMs", this->context.view->leaseAgeMs()}});
+             {"leaseAgeMs", this->context.view->reportedLeaseAgeMs()}});
     this->context.metrics.count("requests_refused_total", reason);
     reply->send(status, headers, "{\"error\":\"" + reason + "\"}");
 }
--- a/Apricothead/src/Gateway/ServingView.cpp
+++ b/Apricothead/src/Gateway/ServingView.cpp
@@ -5,7 +5,6 @@
 #include "../Transport/WallClock.h"
 
 #include <ctime>
-#include <limits>
 #include <utility>
 
 namespace Apricothead {
@@ -84,7 +83,8 @@
 
 bool ServingView::hasLeader() const
 {
-    return !this->leader.empty() && this->leaseAgeMs() < LeaderTimeoutMs;
+    const std::optional<std::uint64_t> ageMs = this->leaseAgeMs();
+    return !this->leader.empty() && ageMs && *ageMs < LeaderTimeoutMs;
 }
 
 void ServingView::sendLeaderHeartbeat()
@@ -195,7 +195,7 @@
     if (sent == this->roundSentMs.end() || !isUpToDate) {
         return;
     }
-    this->confirmedMs = std::max(this->confirmedMs, sent->second);
+    this->confirmedMs = std::max(this->confirmedMs.value_or(0), sent->second);
 }
 
 std::shared_ptr<const PlanIndex> ServingView::plan() const
@@ -203,9 +203,18 @@
     return this->planIndex;
 }
 
-std::uint64_t ServingView::leaseAgeMs() const
+std::optional<std::uint64_t> ServingView::leaseAgeMs() const
 {
-    return this->confirmedMs == 0 ? std::numeric_limits<std::uint64_t>::max() : bootTimeMs() - this->confirmedMs;
+    if (!this->confirmedMs) {
+        return std::nullopt;
+    }
+    return bootTimeMs() - *this->confirmedMs;
+}
+
+std::int64_t ServingView::reportedLeaseAgeMs() const
+{
+    const std::optional<std::uint64_t> ageMs = this->leaseAgeMs();
+    return ageMs ? static_cast<std::int64_t>(*ageMs) : -1;
 }
 
 std::uint32_t ServingView::gateways() const
--- a/Apricothead/src/Gateway/ServingView.h
+++ b/Apricothead/src/Gateway/ServingView.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -61,8 +62,11 @@
     /** \returns the plan in force at this gateway, null before the first */
     std::shared_ptr<const PlanIndex> plan() const;
 
-    /** \returns for how many ms a newer state may have been in force elsewhere; the largest value before the first confirmation */
-    std::uint64_t leaseAgeMs() const;
+    /** \returns for how many ms a newer state may have been in force elsewhere; nothing before the first confirmation, when there is no bound */
+    std::optional<std::uint64_t> leaseAgeMs() const;
+
+    /** \returns leaseAgeMs() for logs and metrics, -1 before the first confirmation */
+    std::int64_t reportedLeaseAgeMs() const;
 
     /** \returns the number of gateways connected to the leader, this one included; 0 when it is not known */
     std::uint32_t gateways() const;
@@ -95,8 +99,8 @@
     std::map<std::string, std::uint64_t> lastHeartbeatMs;
     OwnReports ownReports;
     std::uint64_t lastRound = 0;
-    /** When the newest confirmed heartbeat was sent; 0 before the first confirmation. */
-    std::uint64_t confirmedMs = 0;
+    /** When the newest confirmed heartbeat was sent; nothing before the first confirmation. */
+    std::optional<std::uint64_t> confirmedMs;
     std::uint32_t gatewayCount = 0;
 };
 
