A lost replica leaves the group while its successor catches up

Cause: a successor that joins before its predecessor is known to be lost makes four voters of three. The change that let it in waited for the lost voter to store the entry, which it never does, and was given up after 4 s; meanwhile nobody counted the silence, and then an even group waited another 6 s. For some 11 s the group needed three of four voters, one of them dead: the next loss of one replica, which the deployment allows 4 s after the successor's start, left two of four, for ever if a disk was lost.

Silence is now counted from the last message of a replica, or from when this one began to lead or was resumed, and whatever else is in progress; an automatic change is complete once it is committed; an even group removes a lost voter after 2.5 s, as a candidate replaces one.

lossAfterAReplacementLeavesAQuorum failed at six checks before and passes. The tests of the repair state silences instead of reachability; the even group is now also asked to wait for 2 s, and to act at 3 s instead of 7 s.

--- a/Apricothead/src/Coordination/Replica/MembershipChange.cpp
+++ b/Apricothead/src/Coordination/Replica/MembershipChange.cpp
@@ -110,7 +110,7 @@
     return std::nullopt;
 }
 
-bool MembershipChange::isDone(const Raft &raft) const
+bool MembershipChange::isCommitted(const Raft &raft) const
 {
     if (!this->addressToInvite().empty() || raft.log().membershipIndex() > raft.commitIndex() || this->isRemovalPending(raft.membership())) {
         return false;
@@ -121,10 +121,15 @@
             return false;
         }
     }
+    return true;
+}
+
+bool MembershipChange::isDone(const Raft &raft) const
+{
     const auto &progress = raft.progress();
-    return std::all_of(progress.begin(), progress.end(), [&raft](const auto &entry) {
-        return !raft.isVoter(entry.first) || entry.second.match >= raft.log().membershipIndex();
-    });
+    return this->isCommitted(raft) && std::all_of(progress.begin(), progress.end(), [&raft](const auto &entry) {
+               return !raft.isVoter(entry.first) || entry.second.match >= raft.log().membershipIndex();
+           });
 }
 
 } // namespace Apricothead
--- a/Apricothead/src/Coordination/Replica/MembershipChange.h
+++ b/Apricothead/src/Coordination/Replica/MembershipChange.h
@@ -36,6 +36,9 @@
     /** \returns the identity of the member to remove, empty when there is none */
     const std::string &removedReplica() const;
 
+    /** \returns true when all steps are committed */
+    bool isCommitted(const Raft &raft) const;
+
     /** \returns true when all steps are committed and every voter has the membership entry */
     bool isDone(const Raft &raft) const;
 
--- a/Apricothead/src/Coordination/Replica/MembershipRepair.h
+++ b/Apricothead/src/Coordination/Replica/MembershipRepair.h
@@ -28,7 +28,8 @@
  *
  * A replica with an empty data folder sends join requests to the seeds. One at the address of a member shows that this member's disk is lost;
  * one at a new address replaces a silent member if there is one, and otherwise enlarges the group. A group with an even number of voters removes
- * a silent member: this reduces the quorum and costs no fault tolerance.
+ * a silent member: this reduces the quorum and costs no fault tolerance. So a successor may join before its predecessor is known to be lost; the
+ * group has its former fault tolerance again as soon as the predecessor has been silent for long enough.
  */
 class MembershipRepair
 {
@@ -39,9 +40,10 @@
     /** Records a join request of another replica. */
     void recordJoinRequest(const Wire::Join &join, std::uint64_t nowMs);
 
-    /** Called periodically, as it also tracks how long members are silent. \returns the step that the leader should take, if any */
+    /** \a silentForMs: for how many ms the leader has received nothing from a replica while it could have. \returns the step that the leader should
+     * take, if any */
     std::optional<MembershipStep>
-    next(const Wire::Membership &membership, const std::function<bool(const std::string &replica)> &isReachable, std::uint64_t nowMs);
+    next(const Wire::Membership &membership, const std::function<std::uint64_t(const std::string &replica)> &silentForMs, std::uint64_t nowMs);
 
 private:
     struct Candidate {
@@ -49,10 +51,8 @@
         std::string address;
         std::uint64_t lastRequestMs = 0;
     };
-    std::string silentVoter(const Wire::Membership &membership, std::uint64_t minSilenceMs, std::uint64_t nowMs) const;
 
     std::map<std::string, Candidate> candidates;
-    std::map<std::string, std::uint64_t> silentSinceMs;
     std::uint64_t lastRequestMs = 0;
 };
 
--- a/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
@@ -31,6 +31,8 @@
 constexpr std::uint64_t LeadershipTransferTimeoutMs = 2000;
 /** Interval of periodic work: endpoint watch, expiry, membership changes. */
 constexpr std::chrono::milliseconds MaintenanceInterval{100};
+/** A longer gap between two maintenance calls means that this process was suspended. */
+constexpr std::uint64_t PauseDetectionMs = 1000;
 constexpr std::uint64_t InviteRetryIntervalMs = 500;
 /** Added to the heartbeat interval: ticks until a leader's first message reaches a replica that has just started, including the connection
  * setup. */
@@ -161,6 +163,8 @@
     void answerQuery(const PeerId &peer, const Wire::Query &query);
     ClusterView view() const;
     bool isReachable(const std::string &replica) const;
+    /** \returns for how many ms nothing has been received from \a replica, counted from when this replica began to lead or was resumed */
+    std::uint64_t silentForMs(const std::string &replica) const;
     std::string leaderAddress() const;
 
     // Gateways
@@ -218,6 +222,9 @@
     std::unique_ptr<ForwardedCalls> forwarded;
     std::map<PeerId, ConnectedProcess> processes;
     std::map<std::string, std::uint64_t> replicaLastReceivedMs;
+    /** When this replica began to lead, or was resumed after a suspension; silence is no evidence of a loss before. */
+    std::uint64_t listeningSinceMs = 0;
+    std::uint64_t lastMaintenanceMs = 0;
     std::optional<RunningChange> change;
     std::size_t orphansInFlight = 0;
     // Checked by jobs posted to the loop, which may run after the task is destroyed.
@@ -570,6 +577,7 @@
     }
     if (!wasLeader && role == RaftRole::Leader) {
         this->watch.startLeading(this->now());
+        this->listeningSinceMs = this->now();
         this->orphansInFlight = 0;
     }
     if (this->raft->leader() != this->lastLeader) {
@@ -808,6 +816,16 @@
     return lastReceived != this->replicaLastReceivedMs.end() && this->now() - lastReceived->second <= silence;
 }
 
+std::uint64_t ReplicaTask::Private::silentForMs(const std::string &replica) const
+{
+    if (replica == this->store->replica()) {
+        return 0;
+    }
+    const auto lastReceived = this->replicaLastReceivedMs.find(replica);
+    const std::uint64_t receivedMs = lastReceived == this->replicaLastReceivedMs.end() ? 0 : lastReceived->second;
+    return this->now() - std::max(receivedMs, this->listeningSinceMs);
+}
+
 // ---- processes ----
 
 void ReplicaTask::Private::handleHeartbeat(const PeerId &peer, const Wire::Heartbeat &heartbeat)
@@ -969,12 +987,14 @@
         }
         return;
     }
-    if (this->change->change.isDone(*this->raft)) {
+    // No operator waits for an automatic change, and a lost voter, which never gets the entry, must not hold up its own removal.
+    const bool isAutomatic = !this->change->peer;
+    if (isAutomatic ? this->change->change.isCommitted(*this->raft) : this->change->change.isDone(*this->raft)) {
         this->finishChange(nullptr);
         return;
     }
     // An automatic step that makes no progress must not block the next one, whose member may be reachable.
-    if (!this->change->peer && this->now() - this->change->startedMs > RepairTimeoutMs) {
+    if (isAutomatic && this->now() - this->change->startedMs > RepairTimeoutMs) {
         logLine(LogLevel::Warning, "membership-repair-given-up", {{"remove", this->change->change.removedReplica()}});
         this->change.reset();
     }
@@ -1007,7 +1027,7 @@
     const std::optional<MembershipStep> step = this->repair.next(
         this->raft->membership(),
         [this](const std::string &replica) {
-            return replica == this->store->replica() || this->isReachable(replica);
+            return this->silentForMs(replica);
         },
         this->now());
     if (step) {
@@ -1040,6 +1060,10 @@
 void ReplicaTask::Private::runMaintenance()
 {
     const std::uint64_t nowMs = this->now();
+    if (nowMs - this->lastMaintenanceMs > PauseDetectionMs) {
+        this->listeningSinceMs = nowMs;
+    }
+    this->lastMaintenanceMs = nowMs;
     this->directory.expire(nowMs);
     this->forwarded->expire(nowMs);
     this->publisher->runMaintenance(nowMs);
--- a/test/replica.cpp
+++ b/test/replica.cpp
@@ -179,6 +179,33 @@
     BOOST_TEST(organisationsOf(client).size() == 35U);
 }
 
+// A replica that was gone for good remained a voter beside its successor, so that the next loss ended the group.
+BOOST_AUTO_TEST_CASE(lossAfterAReplacementLeavesAQuorum)
+{
+    /** By then a successor has to stand in for the replica whose place it takes. */
+    constexpr std::chrono::milliseconds CatchUpTime{4000};
+    for (const bool replacesLeader : {false, true}) {
+        ReplicaGroup group(3);
+        BOOST_REQUIRE(group.startAll());
+        const std::size_t spare = group.addSpare();
+        BlockingClient client(group.allAddresses());
+        BOOST_REQUIRE(becomesRedundant(client));
+        BOOST_TEST(makeChanges(client, "before", 5) == 5U);
+        const std::size_t leader = group.leader();
+        const std::size_t gone = replacesLeader ? leader : (leader + 1) % 3;
+        const std::size_t next = (leader + 2) % 3;
+        group.wipe(gone);
+        // The successor joins before the group can know that the replica is gone.
+        std::this_thread::sleep_for(std::chrono::milliseconds(600));
+        BOOST_REQUIRE(group.start(spare));
+        std::this_thread::sleep_for(CatchUpTime);
+        BOOST_TEST(client.status().replicas_size() == 3);
+        group.wipe(next);
+        BOOST_TEST(makeChanges(client, "after", 5) == 5U);
+        BOOST_TEST(organisationsOf(client).size() == 10U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aWipedReplicaIsANewMember)
 {
     ReplicaGroup group(3);
--- a/test/serving.cpp
+++ b/test/serving.cpp
@@ -446,7 +446,7 @@
 {
     MembershipRepair repair;
     const auto allReachable = [](const std::string &) {
-        return true;
+        return std::uint64_t{0};
     };
     const Wire::Membership one = membership({member("a", "1:1")});
     BOOST_TEST(!repair.next(one, allReachable, 0).has_value());
@@ -464,7 +464,7 @@
 {
     MembershipRepair repair;
     const auto allReachable = [](const std::string &) {
-        return true;
+        return std::uint64_t{0};
     };
     repair.recordJoinRequest(join("b2", "2:1"), 0);
     const auto step = repair.next(membership({member("a", "1:1"), member("b", "2:1"), member("c", "3:1")}), allReachable, 1);
@@ -477,28 +477,50 @@
 {
     MembershipRepair repair;
     const Wire::Membership three = membership({member("a", "1:1"), member("b", "2:1"), member("c", "3:1")});
-    const auto withoutC = [](const std::string &replica) {
-        return replica != "c";
+    std::uint64_t nowMs = 0;
+    const auto withoutC = [&nowMs](const std::string &replica) {
+        return replica == "c" ? nowMs : 0;
     };
-    BOOST_TEST(!repair.next(three, withoutC, 0).has_value());
-    repair.recordJoinRequest(join("d", "4:1"), 3000);
-    const auto step = repair.next(three, withoutC, 3001);
+    BOOST_TEST(!repair.next(three, withoutC, nowMs).has_value());
+    nowMs = 3000;
+    repair.recordJoinRequest(join("d", "4:1"), nowMs);
+    const auto step = repair.next(three, withoutC, nowMs);
     BOOST_REQUIRE(step.has_value());
     BOOST_TEST(step->remove == "c");
     BOOST_TEST(step->addAddress == "4:1");
     // A group of three keeps a silent member without a replacement.
-    BOOST_TEST(!repair.next(three, withoutC, 20000).has_value());
+    nowMs = 20000;
+    BOOST_TEST(!repair.next(three, withoutC, nowMs).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(evenSizedGroupRemovesItsSilentMember)
 {
     MembershipRepair repair;
     const Wire::Membership four = membership({member("a", "1:1"), member("b", "2:1"), member("c", "3:1"), member("d", "4:1")});
-    const auto withoutC = [](const std::string &replica) {
-        return replica != "c";
+    std::uint64_t nowMs = 0;
+    const auto withoutC = [&nowMs](const std::string &replica) {
+        return replica == "c" ? nowMs : 0;
     };
-    BOOST_TEST(!repair.next(four, withoutC, 0).has_value());
-    const auto step = repair.next(four, withoutC, 7000);
+    BOOST_TEST(!repair.next(four, withoutC, nowMs).has_value());
+    // A change of leader takes up to 0.9 s, after which all have been heard again.
+    nowMs = 2000;
+    BOOST_TEST(!repair.next(four, withoutC, nowMs).has_value());
+    nowMs = 3000;
+    const auto step = repair.next(four, withoutC, nowMs);
+    BOOST_REQUIRE(step.has_value());
+    BOOST_TEST(step->remove == "c");
+}
+
+BOOST_AUTO_TEST_CASE(longestSilentMemberIsTakenForLost)
+{
+    MembershipRepair repair;
+    const Wire::Membership four = membership({member("a", "1:1"), member("b", "2:1"), member("c", "3:1"), member("d", "4:1")});
+    const std::map<std::string, std::uint64_t> silences{{"b", 3000}, {"c", 9000}, {"d", 100}};
+    const auto silentForMs = [&silences](const std::string &replica) {
+        const auto found = silences.find(replica);
+        return found == silences.end() ? 0 : found->second;
+    };
+    const auto step = repair.next(four, silentForMs, 10000);
     BOOST_REQUIRE(step.has_value());
     BOOST_TEST(step->remove == "c");
 }
