A replica that was replaced while out of reach joins again with its disk

A voter may be silent for a few seconds, be taken for lost when a successor asks to join, and come back with its disk. It stayed outside for good: it took itself for a voter, since the entry that removes it never reached it, so it did not ask to join; and its folder, which is not empty, was refused. Operators' calls at that instance then end in 503, and the group bears one loss less than the instances in use allow.

A replica that no leader contacts now asks to join, and an invited one with a log accepts when its membership has a member in common with the inviting one; identities are unique, so this is the same group. Raft's rules hold for it as for any member that was away: its term, vote and log are its own.

replacedReplicaThatReturnsIsAMemberAgain failed at three checks before (it never became a member within the wait, and no change was taken by it) and passes.

--- a/Apricothead/src/Coordination/Replica/MembershipChange.cpp
+++ b/Apricothead/src/Coordination/Replica/MembershipChange.cpp
@@ -25,6 +25,13 @@
     return nullptr;
 }
 
+bool hasCommonMember(const Wire::Membership &left, const Wire::Membership &right)
+{
+    return std::any_of(left.members().begin(), left.members().end(), [&right](const Wire::Member &member) {
+        return findMember(right, member.replica()) != nullptr;
+    });
+}
+
 Wire::Membership withLearner(const Wire::Membership &membership, const Wire::Member &added)
 {
     Wire::Membership result = membership;
--- a/Apricothead/src/Coordination/Replica/MembershipChange.h
+++ b/Apricothead/src/Coordination/Replica/MembershipChange.h
@@ -58,6 +58,9 @@
 /** \returns the member at \a address, null when there is none */
 const Wire::Member *findAddress(const Wire::Membership &membership, const std::string &address);
 
+/** \returns whether a replica is a member of both; identities are unique, so these are memberships of the same group */
+bool hasCommonMember(const Wire::Membership &left, const Wire::Membership &right);
+
 Wire::Membership withLearner(const Wire::Membership &membership, const Wire::Member &added);
 Wire::Membership withPromoted(const Wire::Membership &membership, const std::string &replica);
 Wire::Membership without(const Wire::Membership &membership, const std::string &replica);
--- a/Apricothead/src/Coordination/Replica/MembershipRepair.h
+++ b/Apricothead/src/Coordination/Replica/MembershipRepair.h
@@ -26,10 +26,10 @@
  * \ingroup Coordination_Module
  * \brief Automatic membership changes: admits replicas that request to join, and removes members that are lost.
  *
- * A replica with an empty data folder sends join requests to the seeds. One at the address of a member shows that this member's disk is lost;
- * one at a new address replaces a silent member if there is one, and otherwise enlarges the group. A group with an even number of voters removes
- * a silent member: this reduces the quorum and costs no fault tolerance. So a successor may join before its predecessor is known to be lost; the
- * group has its former fault tolerance again as soon as the predecessor has been silent for long enough.
+ * A replica with an empty data folder, or one that was removed while it was out of reach, sends join requests. An empty one at the address of a member shows
+ * that this member's disk is lost; one at a new address replaces a silent member if there is one, and otherwise enlarges the group. A group with an even number
+ * of voters removes a silent member: this reduces the quorum and costs no fault tolerance. So a successor may join before its predecessor is known to be lost;
+ * the group has its former fault tolerance again as soon as the predecessor has been silent for long enough.
  */
 class MembershipRepair
 {
--- a/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
@@ -937,7 +937,7 @@
     Wire::Membership inviting;
     *inviting.mutable_members() = invite.members();
     const bool empty = this->raft->log().lastIndex() == 0;
-    if (!empty && detail::findMember(inviting, this->store->replica()) == nullptr) {
+    if (!empty && !detail::hasCommonMember(inviting, this->raft->membership())) {
         reply->mutable_error()->set_code(Wire::ERROR_CODE_NOT_ALLOWED);
         reply->mutable_error()->set_message("the data folder of " + this->settings.replica->address + " already holds other state");
         reply->mutable_error()->set_remedy("start that replica with an empty data folder");
@@ -1097,8 +1097,9 @@
 
 void ReplicaTask::Private::requestJoin()
 {
-    const bool isVoter = this->raft->isVoter(this->store->replica());
-    if (isVoter || this->stopping || !this->repair.isJoinRequestDue(this->now())) {
+    // A replica that was removed while it was out of reach still takes itself for a voter, but no leader contacts it.
+    const bool isLed = this->raft->isVoter(this->store->replica()) && !this->raft->leader().empty();
+    if (isLed || this->stopping || !this->repair.isJoinRequestDue(this->now())) {
         return;
     }
     Wire::Envelope message = this->links->envelope();
@@ -1109,6 +1110,7 @@
         this->links->connectTo(seed);
         this->links->sendTo(seed, message);
     }
+    this->links->sendToMembers(message);
 }
 
 void ReplicaTask::Private::handleJoin(const Wire::Join &join)
--- a/test/replica.cpp
+++ b/test/replica.cpp
@@ -206,6 +206,35 @@
     }
 }
 
+// A replica that was replaced while it was out of reach stayed outside of the group for good when it came back with its disk.
+BOOST_AUTO_TEST_CASE(replacedReplicaThatReturnsIsAMemberAgain)
+{
+    ReplicaGroup group(3);
+    BOOST_REQUIRE(group.startAll());
+    const std::size_t spare = group.addSpare();
+    BlockingClient client(group.allAddresses());
+    BOOST_REQUIRE(becomesRedundant(client));
+    BOOST_TEST(makeChanges(client, "before", 5) == 5U);
+    const std::size_t victim = (group.leader() + 1) % 3;
+    const std::string former = group.replicas[victim]->replica();
+    group.kill(victim);
+    BOOST_REQUIRE(group.start(spare));
+    BOOST_REQUIRE(waitFor([&client, &former] {
+        const Wire::ClusterStatus status = client.status();
+        return status.redundant() && std::none_of(status.replicas().begin(), status.replicas().end(), [&former](const Wire::ReplicaStatus &replica) {
+                   return replica.replica() == former;
+               });
+    }));
+    BOOST_TEST(makeChanges(client, "without", 5) == 5U);
+    BOOST_REQUIRE(group.start(victim));
+    BOOST_TEST(waitFor([&client] {
+        return client.status().replicas_size() == 4 && client.status().redundant();
+    }));
+    BlockingClient returned({group.addressOf(victim)});
+    BOOST_TEST(makeChanges(returned, "returned", 5) == 5U);
+    BOOST_TEST(organisationsOf(returned).size() == 15U);
+}
+
 BOOST_AUTO_TEST_CASE(aWipedReplicaIsANewMember)
 {
     ReplicaGroup group(3);
