A held request ends at its route's time-out, counted from its arrival

Cause: a request that waits for a lease is admitted as if it had just arrived; only what was left of its caller's time was carried over, not of the route's.

The time held is now part of the run: deadline, objective and the figures of the log count from the arrival.

--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -91,24 +91,24 @@
 
 void ForwardRun::start()
 {
-    this->arrivedMs = this->now();
-    std::uint64_t waitMs = this->route.timeout_ms();
+    const std::uint64_t nowMs = this->now();
+    this->arrivedMs = nowMs - this->request.heldMs;
+    this->deadlineMs = std::max(nowMs, this->arrivedMs + this->route.timeout_ms());
     if (this->request.callerTimeoutMs) {
-        waitMs = std::min(waitMs, *this->request.callerTimeoutMs);
+        this->deadlineMs = std::min(this->deadlineMs, nowMs + *this->request.callerTimeoutMs);
     }
-    this->deadlineMs = this->arrivedMs + waitMs;
     this->lastEventId = this->request.lastEventId;
     this->model = this->request.anyModel ? ModelEscalation::first(this->route) : this->request.model;
     const std::string &drawKey = this->request.session.empty() ? this->request.id : this->request.session;
     this->draw = uniformHash(drawKey);
     this->service = PlanIndex::serviceFor(this->route, XXH3_64bits_withSeed(this->request.id.data(), this->request.id.size(), 1));
-    this->context.retries.recordRequest(this->service, this->arrivedMs);
+    this->context.retries.recordRequest(this->service, nowMs);
     this->reply->onDisconnect([this, token = this->alive] {
         if (*token) {
             this->handleDisconnect();
         }
     });
-    this->deadlineTimer.startOnce(milliseconds(waitMs));
+    this->deadlineTimer.startOnce(milliseconds(this->deadlineMs - nowMs));
     this->context.progressChecks.add(this, [this] {
         this->checkProgress();
     });
@@ -527,7 +527,7 @@
     this->deadlineTimer.stop();
     this->context.progressChecks.remove(this);
     const bool isServed = status >= StatusOk && status < StatusRedirect && (reason == "whole" || reason == "endpoint");
-    const std::uint64_t tookMs = this->request.heldMs + this->now() - this->arrivedMs;
+    const std::uint64_t tookMs = this->now() - this->arrivedMs;
     logLine(isServed ? LogLevel::Info : LogLevel::Warning,
             "request-ended",
             {{"request", this->request.id},
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -103,6 +103,7 @@
     std::string model;
     /** \sa uniformHash() */
     std::uint64_t draw = 0;
+    /** When the gateway received the request, before it was held. */
     std::uint64_t arrivedMs = 0;
     std::uint64_t deadlineMs = 0;
     Timer deadlineTimer;
--- a/test/gatewaylease.cpp
+++ b/test/gatewaylease.cpp
@@ -97,7 +97,9 @@
 struct GatewayFixture {
     GatewayFixture()
         : endpoint([](ScriptedConnection &connection, const std::string &head) {
-            connection.send("HTTP/1.1 200 OK\r\nid: " + headerOf(head, "id") + "\r\nsigned: yes\r\ncontent-length: 0\r\n\r\n");
+            if (head.find("/silent") == std::string::npos) {
+                connection.send("HTTP/1.1 200 OK\r\nid: " + headerOf(head, "id") + "\r\nsigned: yes\r\ncontent-length: 0\r\n\r\n");
+            }
         })
         , leader(loop)
         , client(loop)
@@ -110,7 +112,13 @@
         this->settings.process = "gateway";
         this->settings.seeds = {this->leader.router.boundAddress()};
         this->settings.gateway = GatewaySettings{.callerAddress = freeAddress(), .readyAddress = freeAddress(), .revocation = RevocationBound};
-        this->gateway = std::make_unique<GatewayTask>(this->loop, GatewayTaskOptions{.settings = this->settings, .dialect = testDialect()});
+        this->startGateway(testDialect());
+    }
+
+    void startGateway(GatewayDialect dialect)
+    {
+        this->gateway.reset();
+        this->gateway = std::make_unique<GatewayTask>(this->loop, GatewayTaskOptions{.settings = this->settings, .dialect = std::move(dialect)});
         this->gateway->start();
     }
 
@@ -241,3 +249,31 @@
     BOOST_TEST(this->ask("/keyed/x", "two") == 401U);
     BOOST_TEST(this->ask("/keyed/x", "one") == 200U);
 }
+
+// The route's time-out began anew when a request that had been held for a lease was admitted.
+BOOST_FIXTURE_TEST_CASE(heldRequestEndsAtTheTimeoutCountedFromItsArrival, GatewayFixture)
+{
+    constexpr std::uint64_t TimeoutMs = 2000;
+    constexpr std::uint64_t MaxOverrunMs = 250;
+    constexpr milliseconds Outage{400};
+    this->leader.confirms = false;
+    this->leader.state.mutable_plan()->mutable_routes(0)->set_repeat(Wire::REPEAT_RULE_ONCE);
+    // A patient caller, whose request is held for longer than the time-out may be overrun.
+    GatewayDialect dialect = testDialect();
+    dialect.decode = [decode = dialect.decode](HttpRequest received) {
+        std::optional<ForwardRequest> request = decode(std::move(received));
+        request->callerTimeoutMs = 5 * TimeoutMs;
+        return request;
+    };
+    this->startGateway(std::move(dialect));
+    Timer outage(this->loop, [this] {
+        this->leader.confirms = true;
+    });
+    outage.startOnce(Outage);
+    const std::uint64_t sentMs = this->loop.nowMs();
+    BOOST_TEST(this->ask("/keyed/silent", "one") == 504U);
+    const std::uint64_t tookMs = this->loop.nowMs() - sentMs;
+    BOOST_TEST(tookMs >= TimeoutMs - MaxOverrunMs);
+    BOOST_TEST(tookMs <= TimeoutMs + MaxOverrunMs);
+    BOOST_TEST(this->endpoint.requests().size() == 1U);
+}
