The list of a replica that has just started silences no endpoint

A replica now says for the time of an endpoint's silence (6 s) that its list is incomplete; a gateway takes it as news only. An endpoint that went meanwhile is found by its connections, as between any two heartbeats.

endpointsStayInUseWhenAllReplicasHaveRestarted fails with the check taken out (503 for 200); listOfAReplicaThatHasJustStartedIsIncomplete is new with the field.

--- a/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
+++ b/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
@@ -30,6 +30,7 @@
     if (heartbeat.lease_round() == 0) {
         return;
     }
+    this->startedMs = this->startedMs.value_or(nowMs);
     Gateway &gateway = this->gateways[peer];
     gateway.process = heartbeat.process();
     gateway.servingNumber = heartbeat.serving_number();
@@ -48,6 +49,7 @@
         update.set_announcements_current(true);
     } else if (heartbeat.wants_announcements()) {
         update.set_all_announcements(true);
+        update.set_announcements_incomplete(nowMs - *this->startedMs < EndpointSilenceMs);
         for (const Wire::EndpointAnnouncement &announcement : this->registry.all()) {
             *update.add_announcements() = announcement;
         }
@@ -218,6 +220,7 @@
         this->registry.resetSilence(nowMs);
     }
     this->lastMaintenanceMs = nowMs;
+    this->startedMs = this->startedMs.value_or(nowMs);
     this->prompts.endRound();
     this->sendRelayedChanges();
     this->sendToGateways(this->registry.expire(nowMs));
--- a/Apricothead/src/Coordination/Replica/ServingPublisher.h
+++ b/Apricothead/src/Coordination/Replica/ServingPublisher.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -114,6 +115,8 @@
     std::map<std::string, std::uint64_t> lastDirectHeartbeatMs;
     /** Changes received by other replicas since the last maintenance, by endpoint. A storm of changes is sent in a few messages. */
     std::map<std::string, Wire::EndpointAnnouncement> relayedChanges;
+    /** When this publisher was first used; nothing before. */
+    std::optional<std::uint64_t> startedMs;
     std::uint64_t lastMaintenanceMs = 0;
     std::uint64_t lastRelayMs = 0;
 };
--- a/Apricothead/src/Gateway/ServingView.cpp
+++ b/Apricothead/src/Gateway/ServingView.cpp
@@ -177,7 +177,8 @@
         return;
     }
     const std::vector<Wire::EndpointAnnouncement> listed(update.announcements().begin(), update.announcements().end());
-    const auto changed = update.all_announcements() ? this->announcements.applyFullList(replica, listed) : this->announcements.applyUpdate(replica, listed);
+    const bool isComplete = update.all_announcements() && !update.announcements_incomplete();
+    const auto changed = isComplete ? this->announcements.applyFullList(replica, listed) : this->announcements.applyUpdate(replica, listed);
     if (!changed.empty()) {
         this->options.onAnnouncements(changed);
     }
--- a/test/gatewaylease.cpp
+++ b/test/gatewaylease.cpp
@@ -77,7 +77,11 @@
         if (message.heartbeat().serving_number() < this->state.number()) {
             *update.mutable_serving() = this->state;
         }
-        *update.add_announcements() = this->endpoint;
+        update.set_all_announcements(this->hasRestarted);
+        update.set_announcements_incomplete(this->hasRestarted && this->isListIncomplete);
+        if (!this->hasRestarted) {
+            *update.add_announcements() = this->endpoint;
+        }
         if (this->confirms) {
             update.set_lease_round(message.heartbeat().lease_round());
             update.set_serving_number(this->state.number());
@@ -91,6 +95,9 @@
     bool confirms = true;
     /** Sends the state without confirmations, as a replica that is cut off from its leader does. */
     bool sendsUnconfirmedState = false;
+    /** The replica has heard no endpoint since its restart. */
+    bool hasRestarted = false;
+    bool isListIncomplete = true;
     Router router;
 };
 
@@ -277,3 +284,15 @@
     BOOST_TEST(tookMs <= TimeoutMs + MaxOverrunMs);
     BOOST_TEST(this->endpoint.requests().size() == 1U);
 }
+
+BOOST_FIXTURE_TEST_CASE(endpointsStayInUseWhenAllReplicasHaveRestarted, GatewayFixture)
+{
+    this->setConfirming(true);
+    this->leader.hasRestarted = true;
+    this->runFor(milliseconds(500));
+    BOOST_TEST(this->ask("/keyed/x", "one") == 200U);
+    // Silent towards a replica that has listened for long enough.
+    this->leader.isListIncomplete = false;
+    this->runFor(milliseconds(500));
+    BOOST_TEST(this->ask("/keyed/x", "one") == 503U);
+}
--- a/test/serving.cpp
+++ b/test/serving.cpp
@@ -307,6 +307,19 @@
     BOOST_TEST(this->sent.back().announcements_size() == 1);
 }
 
+// After a restart of all replicas their lists lacked endpoints that had not been heard yet, and gateways took these for silent.
+BOOST_FIXTURE_TEST_CASE(listOfAReplicaThatHasJustStartedIsIncomplete, PublisherFixture)
+{
+    constexpr std::uint64_t EndpointSilenceMs = 6000;
+    this->publisher.handleAnnouncement(announcement("i", 1), this->nowMs);
+    this->publisher.handleHeartbeat({}, this->heartbeat(0), this->nowMs + EndpointSilenceMs - 1);
+    BOOST_TEST(this->sent.back().all_announcements());
+    BOOST_TEST(this->sent.back().announcements_incomplete());
+    this->publisher.handleHeartbeat({}, this->heartbeat(0), this->nowMs + EndpointSilenceMs);
+    BOOST_TEST(this->sent.back().all_announcements());
+    BOOST_TEST(!this->sent.back().announcements_incomplete());
+}
+
 BOOST_FIXTURE_TEST_CASE(stormOfRelayedChangesIsSentInOneMessage, PublisherFixture)
 {
     constexpr int Endpoints = 117;
