A version that is slow on some of its requests is found by its canary

Cause: the comparison of times saw answers only. Then the share went from 100 to 600 and 1,000 per thousand within a second, as the schedule allowed, without a look at what each share had brought.

Each greater share needs 6 further answers before the next one. The evidence in the log has the times.

The text of the evidence has the times, so the case that compares it does too.

--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -66,7 +66,8 @@
 
 bool isFailure(AttemptOutcome outcome)
 {
-    return outcome == AttemptOutcome::Failed || outcome == AttemptOutcome::Incomplete || outcome == AttemptOutcome::Unreachable;
+    return outcome == AttemptOutcome::Failed || outcome == AttemptOutcome::Incomplete || outcome == AttemptOutcome::Overdue
+        || outcome == AttemptOutcome::Unreachable;
 }
 
 } // namespace
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -71,8 +71,10 @@
     Complete,
     /** The endpoint answered with a server error. */
     Failed,
-    /** The connection was lost, the answer was truncated or invalid, or no answer arrived in time. */
+    /** The connection was lost, or the answer was truncated or invalid. */
     Incomplete,
+    /** The gateway gave up waiting and may try another endpoint. */
+    Overdue,
     /** The connection could not be established. */
     Unreachable,
     /** The endpoint reported that it did not run the request. */
--- a/Apricothead/src/Decisions/ServiceRolloutEvaluator.cpp
+++ b/Apricothead/src/Decisions/ServiceRolloutEvaluator.cpp
@@ -17,9 +17,10 @@
     return current >= previous ? current - previous : current;
 }
 
+/** \returns the time spent for each answer in ms: the maximum-likelihood estimate of the mean time to an answer when some are still awaited */
 double meanMs(const RolloutCounts &counts)
 {
-    return counts.answers == 0 ? 0 : counts.timeSumMs / static_cast<double>(counts.answers);
+    return (counts.timeSumMs + counts.waitingSumMs) / static_cast<double>(std::max<std::uint64_t>(1, counts.answers));
 }
 
 double failedShare(const RolloutCounts &counts)
@@ -62,6 +63,7 @@
         for (const auto &[key, count] : counts) {
             if (key.service == service && (key.version == target) == isTarget && (route == nullptr || key.route == *route)) {
                 result.open += count.open();
+                result.waitingSumMs += count.waiting_sum_ms();
             }
         }
     }
@@ -76,26 +78,28 @@
             routes.insert(key.route);
         }
     }
-    const auto compare = [this](const RolloutCounts &target, const RolloutCounts &previous) -> std::string {
+    const auto compare = [this](const RolloutCounts &target, const RolloutCounts &previous, double slowFactor, std::uint64_t minTimed) -> std::string {
         const bool fails = target.failed >= this->options.minFailed && failedShare(target) > failedShare(previous) + this->options.maxFailedExcess;
         if (fails) {
             return "failed " + std::to_string(target.failed) + " of " + std::to_string(target.answers);
         }
-        const bool isSlow = target.answers >= this->options.minTimed && previous.answers >= this->options.minTimed
-            && meanMs(target) > this->options.slowFactor * meanMs(previous);
+        const auto expectedAnswers = static_cast<double>(std::max(target.answers, minTimed));
+        const bool isSlow = previous.answers >= minTimed && target.timeSumMs + target.waitingSumMs > slowFactor * meanMs(previous) * expectedAnswers;
         if (isSlow) {
             return "took " + std::to_string(static_cast<int>(meanMs(target))) + " ms instead of " + std::to_string(static_cast<int>(meanMs(previous)));
         }
         return {};
     };
+    const auto sum = [this, &rollout](bool isTarget, const std::string *route) {
+        return this->sumCounts(rollout.service(), rollout.target(), isTarget, route);
+    };
     for (const std::string &route : routes) {
-        std::string fault
-            = compare(this->sumCounts(rollout.service(), rollout.target(), true, &route), this->sumCounts(rollout.service(), rollout.target(), false, &route));
+        std::string fault = compare(sum(true, &route), sum(false, &route), this->options.slowFactor, this->options.minTimed);
         if (!fault.empty()) {
             return fault.insert(0, "route " + route + ": ");
         }
     }
-    return compare(this->sumCounts(rollout.service(), rollout.target(), true, nullptr), this->sumCounts(rollout.service(), rollout.target(), false, nullptr));
+    return compare(sum(true, nullptr), sum(false, nullptr), this->options.slowFactorOfAllRoutes, this->options.minTimedOfAllRoutes);
 }
 
 unsigned ServiceRolloutEvaluator::canaryShare() const
@@ -105,11 +109,11 @@
     return std::clamp(share, this->options.minCanaryPermille, this->options.maxCanaryPermille);
 }
 
-unsigned ServiceRolloutEvaluator::targetShare(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs, std::uint64_t answers) const
+unsigned ServiceRolloutEvaluator::scheduledShare(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs) const
 {
     const auto duration = static_cast<double>(rollout.duration_ms());
     const double elapsedFraction = duration > 0 ? static_cast<double>(elapsedMs) / duration : 1;
-    if (elapsedFraction < this->options.canaryFraction || answers < this->options.minAnswers) {
+    if (elapsedFraction < this->options.canaryFraction) {
         return this->canaryShare();
     }
     const double growthFraction = (elapsedFraction - this->options.canaryFraction) / (this->options.fullFraction - this->options.canaryFraction);
@@ -119,7 +123,22 @@
     return growthFraction < 0.67 ? SecondGrowthPermille : FullPermille;
 }
 
-Wire::SetServiceRollout ServiceRolloutEvaluator::decide(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs) const
+unsigned ServiceRolloutEvaluator::nextShare(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs, std::uint64_t answers) const
+{
+    const unsigned share = rollout.share_permille();
+    if (share < this->canaryShare()) {
+        return this->canaryShare();
+    }
+    const bool isCanary = share < FirstGrowthPermille;
+    const bool hasEvidence = isCanary ? answers >= this->options.minAnswers : answers >= this->answersBeforeShare + this->options.minStepAnswers;
+    if (!hasEvidence) {
+        return share;
+    }
+    const unsigned next = isCanary ? FirstGrowthPermille : (share < SecondGrowthPermille ? SecondGrowthPermille : FullPermille);
+    return std::min(next, std::max(share, this->scheduledShare(rollout, elapsedMs)));
+}
+
+Wire::SetServiceRollout ServiceRolloutEvaluator::decide(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs)
 {
     Wire::SetServiceRollout change;
     change.set_service(rollout.service());
@@ -132,8 +151,13 @@
     }
     const RolloutCounts target = this->sumCounts(rollout.service(), rollout.target(), true, nullptr);
     const RolloutCounts previous = this->sumCounts(rollout.service(), rollout.target(), false, nullptr);
-    const unsigned share = this->targetShare(rollout, elapsedMs, target.answers);
-    const std::string evidence = std::to_string(target.answers) + " answers, " + std::to_string(target.failed) + " failed";
+    if (rollout.share_permille() != this->lastShare) {
+        this->lastShare = rollout.share_permille();
+        this->answersBeforeShare = target.answers;
+    }
+    const unsigned share = this->nextShare(rollout, elapsedMs, target.answers);
+    const std::string evidence = std::to_string(target.answers) + " answers, " + std::to_string(target.failed) + " failed, "
+        + std::to_string(static_cast<int>(meanMs(target))) + " ms instead of " + std::to_string(static_cast<int>(meanMs(previous)));
     const bool isFull = rollout.share_permille() == FullPermille;
     const bool isLate = elapsedMs + this->options.completionMarginMs >= rollout.duration_ms();
     if (isFull && (previous.open == 0 || isLate)) {
--- a/Apricothead/src/Decisions/ServiceRolloutEvaluator.h
+++ b/Apricothead/src/Decisions/ServiceRolloutEvaluator.h
@@ -27,17 +27,23 @@
     double fullFraction = 0.72;
     /** A roll-out is completed at the latest this long before the end of its duration, even if the previous version still has open requests. */
     std::uint64_t completionMarginMs = 1200;
-    /** Answers of the new version that are required before the share is increased. */
+    /** Answers of the new version that are required before the canary's share is increased. */
     std::uint64_t minAnswers = 15;
+    /** Further answers that are required at each greater share before the next one. */
+    std::uint64_t minStepAnswers = 6;
     /** Minimum number of failed answers that rolls back a version: two can be chance. */
     std::uint64_t minFailed = 3;
     /** A version is rolled back when its share of failed answers exceeds that of the previous version by more than this; bad versions
      * fail far more often. */
     double maxFailedExcess = 0.12;
-    /** A version is slow when its mean answer time exceeds this many times that of the previous version; bad versions take about 8 times. */
+    /** A version is slow when its mean time to an answer exceeds this many times that of the previous version; bad versions take about 8 times. */
     double slowFactor = 3.0;
-    /** Minimum number of answers of both versions for comparing mean times. */
+    /** Minimum number of answers for comparing mean times: of the previous version, and those that the new version would have given in its time
+     * if it were slower by slowFactor. */
     std::uint64_t minTimed = 6;
+    /** The same bounds for all routes together, where the times of more answers vary less. */
+    double slowFactorOfAllRoutes = 2.0;
+    std::uint64_t minTimedOfAllRoutes = 20;
 };
 
 /** \class RolloutCounts
@@ -49,6 +55,8 @@
     std::uint64_t failed = 0;
     std::uint64_t open = 0;
     double timeSumMs = 0;
+    /** \sa VersionCounts */
+    double waitingSumMs = 0;
 
     bool operator==(const RolloutCounts &) const = default;
 };
@@ -60,6 +68,9 @@
  * Designed for versions that are bad on a single route or only under load: the canary gets its share on all routes at once and is
  * evaluated route by route, and then the share grows in a few steps while the evaluation continues. A gateway that restarts counts
  * from zero.
+ *
+ * Times are compared by the time spent on a version for each of its answers, waits without an answer included. A version that is slow on some of
+ * its requests is therefore found before those are answered, and also when they are given up and answered elsewhere.
  */
 class ServiceRolloutEvaluator
 {
@@ -71,8 +82,8 @@
     void recordCounts(const std::string &gateway, const std::vector<Wire::VersionCount> &versions);
 
     /** \a elapsedMs: time since the roll-out was ordered. \returns the change to propose, with its reason as evidence; with the state
-     * unspecified when there is none */
-    Wire::SetServiceRollout decide(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs) const;
+     * unspecified when there is none. Called at each change of the share, as answers are counted from there. */
+    Wire::SetServiceRollout decide(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs);
 
 private:
     struct Key {
@@ -87,9 +98,15 @@
     std::string findFault(const Wire::ServiceRollout &rollout) const;
     RolloutCounts sumCounts(const std::string &service, const std::string &target, bool isTarget, const std::string *route) const;
     unsigned canaryShare() const;
-    unsigned targetShare(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs, std::uint64_t answers) const;
+    /** \returns the share that the schedule allows by now */
+    unsigned scheduledShare(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs) const;
+    /** \returns the share to give the new version, which has given \a answers so far: the present one or the next */
+    unsigned nextShare(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs, std::uint64_t answers) const;
 
     ServiceRolloutOptions options;
+    /** The share seen last, and the answers of the new version before it. */
+    unsigned lastShare = 0;
+    std::uint64_t answersBeforeShare = 0;
     std::map<std::string, std::map<Key, Wire::VersionCount>> lastCounts;
     std::map<Key, RolloutCounts> totals;
 };
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -150,6 +150,11 @@
     this->send(query, *choice);
 }
 
+VersionRoute ForwardRun::versionRoute(const EndpointChoice &choice) const
+{
+    return {.service = this->service, .version = choice.version, .route = this->route.name()};
+}
+
 HttpCallOptions ForwardRun::callOptions(const EndpointChoice &choice)
 {
     const DispatchParameters parameters{
@@ -194,7 +199,7 @@
     this->attempt->lastReceivedMs = this->attempt->startedMs;
     this->context.endpoints.recordStart(query, choice);
     this->context.versionSplit.recordStart(this->service, this->request.session, choice.version, this->now());
-    this->context.versionCounts.recordStart(this->service, choice.version, this->route.name());
+    this->context.versionCounts.recordStart(this->versionRoute(choice), this->attempt->startedMs);
     logLine(LogLevel::Info,
             "request-sent",
             {{"request", this->request.id},
@@ -333,7 +338,7 @@
     }
     const std::uint64_t tookMs = this->now() - current.startedMs;
     this->context.endpoints.recordAnswer(current.choice, tookMs, this->now());
-    this->context.versionCounts.recordAnswer(this->service, current.choice.version, this->route.name(), failed, static_cast<double>(tookMs));
+    this->context.versionCounts.recordAnswer(this->versionRoute(current.choice), failed, current.startedMs, this->now());
 }
 
 void ForwardRun::handleDone(const HttpResult &result)
@@ -404,7 +409,12 @@
     const EndpointChoice &choice = this->attempt->choice;
     this->attempt->call.reset();
     this->context.endpoints.recordEnd(choice, outcome, this->attempt->wasAnswered, this->now());
-    this->context.versionCounts.recordEnd(this->service, choice.version, this->route.name());
+    if (this->attempt->wasAnswered) {
+        this->context.versionCounts.recordEnd(this->versionRoute(choice));
+    } else {
+        const bool wasGivenUp = outcome == AttemptOutcome::Overdue || outcome == AttemptOutcome::Cancelled;
+        this->context.versionCounts.recordUnanswered(this->versionRoute(choice), wasGivenUp, this->attempt->startedMs, this->now());
+    }
     this->context.versionSplit.recordEnd(this->service, this->request.session, this->now());
     // Kept until the run is destroyed: this function may be called from a callback of the attempt's own call.
     this->endedAttempts.push_back(std::move(this->attempt));
@@ -461,7 +471,7 @@
         isOverdue = silentMs > MaxStreamPauseMs;
     }
     if (isOverdue && this->canRetry(Verdict::MayHaveRun)) {
-        this->failAttempt(AttemptOutcome::Incomplete, Verdict::MayHaveRun, "overdue");
+        this->failAttempt(AttemptOutcome::Overdue, Verdict::MayHaveRun, "overdue");
     }
 }
 
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -57,6 +57,7 @@
     EndpointQuery endpointQuery();
     void send(const EndpointQuery &query, const EndpointChoice &choice);
     HttpCallOptions callOptions(const EndpointChoice &choice);
+    VersionRoute versionRoute(const EndpointChoice &choice) const;
     bool shouldEscalate();
     void escalate();
     unsigned priority() const;
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -135,7 +135,7 @@
                                                                },
                                                            .versionCounts =
                                                                [this] {
-                                                                   return this->context.versionCounts.read();
+                                                                   return this->context.versionCounts.read(this->context.loop.nowMs());
                                                                },
                                                            .takeOwnLoads =
                                                                [this] {
--- a/Apricothead/src/Gateway/VersionCounts.cpp
+++ b/Apricothead/src/Gateway/VersionCounts.cpp
@@ -1,43 +1,59 @@
 #include "VersionCounts.h"
 
+#include <algorithm>
+
 namespace Apricothead {
 
-Wire::VersionCount &VersionCounts::findOrAdd(const std::string &service, const std::string &version, const std::string &route)
+std::uint64_t VersionCounts::endWait(Counts &counts, std::uint64_t startedMs, std::uint64_t nowMs)
 {
-    Wire::VersionCount &count = this->counts[{service, version, route}];
-    if (count.service().empty()) {
-        count.set_service(service);
-        count.set_version(version);
-        count.set_route(route);
-    }
-    return count;
+    counts.waiting -= std::min<std::uint64_t>(counts.waiting, 1);
+    counts.waitingSinceSumMs -= std::min(counts.waitingSinceSumMs, startedMs);
+    return nowMs - std::min(nowMs, startedMs);
+}
+
+void VersionCounts::recordStart(const VersionRoute &key, std::uint64_t nowMs)
+{
+    Counts &count = this->counts[key];
+    ++count.open;
+    ++count.waiting;
+    count.waitingSinceSumMs += nowMs;
 }
 
-void VersionCounts::recordStart(const std::string &service, const std::string &version, const std::string &route)
+void VersionCounts::recordAnswer(const VersionRoute &key, bool failed, std::uint64_t startedMs, std::uint64_t nowMs)
 {
-    Wire::VersionCount &count = this->findOrAdd(service, version, route);
-    count.set_open(count.open() + 1);
+    Counts &count = this->counts[key];
+    ++count.answers;
+    count.failed += failed ? 1 : 0;
+    count.timeSumMs += VersionCounts::endWait(count, startedMs, nowMs);
 }
 
-void VersionCounts::recordAnswer(const std::string &service, const std::string &version, const std::string &route, bool failed, double tookMs)
+void VersionCounts::recordEnd(const VersionRoute &key)
 {
-    Wire::VersionCount &count = this->findOrAdd(service, version, route);
-    count.set_answers(count.answers() + 1);
-    count.set_failed(count.failed() + (failed ? 1 : 0));
-    count.set_time_sum_ms(count.time_sum_ms() + tookMs);
+    Counts &count = this->counts[key];
+    count.open -= std::min<std::uint64_t>(count.open, 1);
 }
 
-void VersionCounts::recordEnd(const std::string &service, const std::string &version, const std::string &route)
+void VersionCounts::recordUnanswered(const VersionRoute &key, bool wasGivenUp, std::uint64_t startedMs, std::uint64_t nowMs)
 {
-    Wire::VersionCount &count = this->findOrAdd(service, version, route);
-    count.set_open(count.open() > 0 ? count.open() - 1 : 0);
+    this->recordEnd(key);
+    Counts &count = this->counts[key];
+    const std::uint64_t waitedMs = VersionCounts::endWait(count, startedMs, nowMs);
+    count.timeSumMs += wasGivenUp ? waitedMs : 0;
 }
 
-std::vector<Wire::VersionCount> VersionCounts::read() const
+std::vector<Wire::VersionCount> VersionCounts::read(std::uint64_t nowMs) const
 {
     std::vector<Wire::VersionCount> listed;
     for (const auto &[key, count] : this->counts) {
-        listed.push_back(count);
+        Wire::VersionCount &added = listed.emplace_back();
+        added.set_service(key.service);
+        added.set_version(key.version);
+        added.set_route(key.route);
+        added.set_answers(count.answers);
+        added.set_failed(count.failed);
+        added.set_open(count.open);
+        added.set_time_sum_ms(static_cast<double>(count.timeSumMs));
+        added.set_waiting_sum_ms(static_cast<double>(count.waiting * nowMs - count.waitingSinceSumMs));
     }
     return listed;
 }
--- a/test/serving.cpp
+++ b/test/serving.cpp
@@ -11,6 +11,9 @@
 #include <Apricothead/src/Coordination/Shared/AnnouncementView.h>
 #include <Apricothead/src/State/ServingTable.h>
 
+#include <cmath>
+#include <random>
+
 using namespace Apricothead;
 
 namespace {
@@ -547,6 +550,12 @@
     BOOST_TEST(evaluator.decide(runningRollout(0), 100).share_permille() == 100U);
     BOOST_TEST(evaluator.decide(runningRollout(100), 9000).state() == Wire::SERVICE_ROLLOUT_STATE_UNSPECIFIED);
     BOOST_TEST(evaluator.decide(runningRollout(100), 11000).share_permille() == 300U);
+    // Each greater share is evaluated before the next one, however late it is.
+    BOOST_TEST(evaluator.decide(runningRollout(300), 15000).state() == Wire::SERVICE_ROLLOUT_STATE_UNSPECIFIED);
+    evaluator.recordCounts("g", {count("v1", 520, 2, 100), count("v2", 46, 0, 110)});
+    BOOST_TEST(evaluator.decide(runningRollout(300), 15000).share_permille() == 600U);
+    BOOST_TEST(evaluator.decide(runningRollout(600), 15000).state() == Wire::SERVICE_ROLLOUT_STATE_UNSPECIFIED);
+    evaluator.recordCounts("g", {count("v1", 530, 2, 100), count("v2", 52, 0, 110)});
     BOOST_TEST(evaluator.decide(runningRollout(600), 15000).share_permille() == 1000U);
     BOOST_TEST(evaluator.decide(runningRollout(1000), 15500).state() == Wire::SERVICE_ROLLOUT_STATE_COMPLETED);
 }
@@ -575,6 +584,124 @@
     BOOST_TEST(oneRoute.decide(runningRollout(100), 3000).state() == Wire::SERVICE_ROLLOUT_STATE_ROLLED_BACK);
 }
 
+namespace {
+
+/** One gateway that sends a tenth of its requests to the new version, and gives up on those that it has to wait for too long. */
+struct CanaryReplay {
+    CanaryReplay(std::uint64_t seed, double slowShare) : random(seed), slow(slowShare)
+    { }
+
+    /** Sends one request and ends those whose time has come. */
+    void step(std::uint64_t nowMs)
+    {
+        constexpr unsigned CanaryInverse = 10;
+        constexpr std::uint64_t PatienceMs = 1800;
+        const bool isTarget = this->requests++ % CanaryInverse == 0;
+        this->running.push_back({.key = {"pool", isTarget ? "v2" : "v1", "r"}, .startedMs = nowMs, .answeredMs = nowMs + this->drawTime(isTarget)});
+        this->counts.recordStart(this->running.back().key, nowMs);
+        std::erase_if(this->running, [this, nowMs](const Attempt &attempt) {
+            if (attempt.answeredMs <= nowMs) {
+                this->counts.recordAnswer(attempt.key, false, attempt.startedMs, nowMs);
+                this->counts.recordEnd(attempt.key);
+                return true;
+            }
+            const bool isGivenUp = nowMs - attempt.startedMs >= PatienceMs;
+            if (isGivenUp) {
+                this->counts.recordUnanswered(attempt.key, true, attempt.startedMs, nowMs);
+            }
+            return isGivenUp;
+        });
+        this->evaluator.recordCounts("g", this->counts.read(nowMs));
+    }
+
+    /** \returns when the version is rolled back, in ms; 0 when it is not within \a lengthMs */
+    std::uint64_t rolledBackMs(std::uint64_t lengthMs)
+    {
+        constexpr std::uint64_t IntervalMs = 20;
+        for (std::uint64_t nowMs = IntervalMs; nowMs <= lengthMs; nowMs += IntervalMs) {
+            this->step(nowMs);
+            if (this->evaluator.decide(runningRollout(100), nowMs).state() == Wire::SERVICE_ROLLOUT_STATE_ROLLED_BACK) {
+                return nowMs;
+            }
+        }
+        return 0;
+    }
+
+    std::uint64_t drawTime(bool isTarget)
+    {
+        constexpr double MedianMs = 170;
+        constexpr double Spread = 0.9;
+        constexpr double SlowFactor = 8;
+        const double timeMs = MedianMs * std::exp(Spread * std::normal_distribution<double>()(this->random));
+        const bool isSlow = isTarget && std::uniform_real_distribution<double>()(this->random) < this->slow;
+        return static_cast<std::uint64_t>(isSlow ? SlowFactor * timeMs : timeMs) + 1;
+    }
+
+    struct Attempt {
+        VersionRoute key;
+        std::uint64_t startedMs = 0;
+        std::uint64_t answeredMs = 0;
+    };
+    std::mt19937_64 random;
+    double slow;
+    unsigned requests = 0;
+    VersionCounts counts;
+    ServiceRolloutEvaluator evaluator;
+    std::vector<Attempt> running;
+};
+
+} // namespace
+
+// A version that was slow on half of its requests was completed: those were given up or still awaited, and only the fast ones were compared.
+BOOST_AUTO_TEST_CASE(versionThatIsSlowOnHalfOfItsRequestsIsRolledBackByTheCanary)
+{
+    constexpr std::uint64_t CanaryMs = 8100;
+    constexpr std::uint64_t Seeds = 50;
+    unsigned missed = 0;
+    unsigned falselyRolledBack = 0;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        missed += CanaryReplay(seed, 0.5).rolledBackMs(CanaryMs) == 0 ? 1 : 0;
+        falselyRolledBack += CanaryReplay(seed, 0).rolledBackMs(CanaryMs) != 0 ? 1 : 0;
+    }
+    BOOST_TEST(missed == 0U);
+    BOOST_TEST(falselyRolledBack == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(awaitedAnswersCountWithTheTimeWaited)
+{
+    Wire::VersionCount target = count("v2", 17, 0, 100);
+    target.set_waiting_sum_ms(8000);
+    ServiceRolloutEvaluator evaluator;
+    evaluator.recordCounts("g", {count("v1", 500, 2, 100), target});
+    BOOST_TEST(evaluator.decide(runningRollout(100), 3000).state() == Wire::SERVICE_ROLLOUT_STATE_ROLLED_BACK);
+    // The first requests of a sound version wait as well, before there is an answer.
+    Wire::VersionCount first = count("v2", 0, 0, 0);
+    first.set_waiting_sum_ms(1200);
+    ServiceRolloutEvaluator started;
+    started.recordCounts("g", {count("v1", 500, 2, 100), first});
+    BOOST_TEST(started.decide(runningRollout(100), 3000).state() == Wire::SERVICE_ROLLOUT_STATE_UNSPECIFIED);
+}
+
+BOOST_AUTO_TEST_CASE(attemptsThatAreGivenUpCountWithTheTimeWaited)
+{
+    VersionCounts counts;
+    const VersionRoute key{.service = "pool", .version = "v2", .route = "r"};
+    for (unsigned attempt = 0; attempt < 3; ++attempt) {
+        counts.recordStart(key, 1000);
+    }
+    BOOST_TEST(counts.read(1400).front().waiting_sum_ms() == 1200.0);
+    counts.recordAnswer(key, false, 1000, 1100);
+    counts.recordEnd(key);
+    counts.recordUnanswered(key, true, 1000, 1500);
+    // A lost connection says nothing on the time of an answer.
+    counts.recordUnanswered(key, false, 1000, 1600);
+    const Wire::VersionCount read = counts.read(2000).front();
+    BOOST_TEST(read.answers() == 1U);
+    BOOST_TEST(read.open() == 0U);
+    BOOST_TEST(read.time_sum_ms() == 600.0);
+    BOOST_TEST(read.waiting_sum_ms() == 0.0);
+}
+
 BOOST_AUTO_TEST_CASE(manyGatewaysNeedASmallerCanary)
 {
     ServiceRolloutEvaluator evaluator;
@@ -591,7 +718,7 @@
     evaluator.recordCounts("g", {count("v1", 10, 0, 100), count("v2", 5, 2, 100)});
     // Counts from before the restart are kept: 4 failures of 35 answers.
     const Wire::SetServiceRollout step = evaluator.decide(runningRollout(0), 100);
-    BOOST_TEST(step.evidence() == "35 answers, 4 failed");
+    BOOST_TEST(step.evidence() == "35 answers, 4 failed, 100 ms instead of 100");
 }
 
 // ---- Version split ----
