Persistent connections leave places for new ones

Each endpoint keeps its connection to a replica between two heartbeats; 3,003 endpoints make 600 at each of five replicas, whose server admits 400. At the limit libmicrohttpd stops accepting, so operators' calls waited in the queue behind endpoints' connections (4,431 at the busiest replica), and no change was acknowledged.

From three quarters of its limit on, a server closes connections with their answers, which say so.

persistentConnectionsLeavePlacesForNewOnes fails without it: with 16 places the 17th connection is not answered within the wait.

--- a/Apricothead/src/Transport/HttpServer.cpp
+++ b/Apricothead/src/Transport/HttpServer.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t OversizeFactor = 4;
 /** A request has to be whole within this many idle times. */
 constexpr int WholeRequestIdleTimes = 2;
+/** From this fraction of the connection limit on, each answer closes its connection. */
+constexpr double MaxPersistentFraction = 0.75;
 constexpr unsigned PayloadTooLarge = 413;
 constexpr unsigned HeadersTooLarge = 431;
 
@@ -258,7 +260,7 @@
     void serve(MHD_Connection *connection, const std::shared_ptr<detail::HttpExchange> &exchange)
     {
         this->readingSince.erase(connection);
-        if (this->isQuiesced || this->closesAfterAnswers) {
+        if (this->isQuiesced || this->closesAfterAnswers || this->isNearlyFull()) {
             exchange->closeAfterAnswer();
         }
         exchange->suspend();
@@ -266,6 +268,17 @@
         this->options.onRequest(std::move(exchange->request), std::move(reply));
     }
 
+    std::size_t openConnections() const
+    {
+        return MHD_get_daemon_info(this->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
+    }
+
+    /** The last places are not for connections that wait for their next request: at the limit nobody else could connect. */
+    bool isNearlyFull() const
+    {
+        return static_cast<double>(this->openConnections()) >= MaxPersistentFraction * this->options.maxConnections;
+    }
+
     void completed(void *context, bool whole)
     {
         const auto found = this->exchanges.find(context);
@@ -440,7 +453,7 @@
 
 std::size_t HttpServer::openConnections() const
 {
-    return MHD_get_daemon_info(this->d->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
+    return this->d->openConnections();
 }
 
 std::size_t HttpServer::openRequests() const
--- a/Apricothead/src/Transport/HttpServer.h
+++ b/Apricothead/src/Transport/HttpServer.h
@@ -72,6 +72,7 @@
     std::string address;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     std::size_t maxHeaderBytes = 32 * 1024;
+    /** Connections beyond this wait until another one ends. When three quarters are open, connections end with their answers. */
     unsigned maxConnections = 1024;
     /** A connection that neither sends nor takes a byte for this long, without a request being served, is closed. */
     std::chrono::seconds idleTimeout{30};
--- a/test/transport.cpp
+++ b/test/transport.cpp
@@ -496,6 +496,26 @@
     }));
 }
 
+// Persistent connections without a request held all places of a server, and nobody else was let in.
+BOOST_FIXTURE_TEST_CASE(persistentConnectionsLeavePlacesForNewOnes, Fixture)
+{
+    constexpr unsigned MaxConnections = 16;
+    HttpServer server(
+        this->loop, {.address = "127.0.0.1:0", .maxConnections = MaxConnections, .onRequest = [](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+                         reply->send(200, {}, "whole");
+                     }});
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    for (unsigned number = 0; number < 2 * MaxConnections; ++number) {
+        RawConnection &connection = *connections.emplace_back(std::make_unique<RawConnection>(server.boundAddress()));
+        connection.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        BOOST_REQUIRE(runUntil(this->loop, [&] {
+            connection.receive();
+            return connection.received.find("whole") != std::string::npos;
+        }));
+    }
+    BOOST_TEST(server.openConnections() < MaxConnections);
+}
+
 BOOST_FIXTURE_TEST_CASE(unreadRequestIsNotIdle, Fixture)
 {
     auto server = this->serve([&](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
