A former member of a recovered group stays out with its disk

Found in reading the change that lets a replaced replica join again: after `recover` the group may lack entries that a former member still holds, and that member, started against the advice of docs/operations/replicas.md, would have been let in, since both memberships have the survivor in common. Memberships now count recoveries, and an invited replica with a log accepts only when it has seen as many. The new case has the former member stay out with its disk and join without it.

--- a/Apricothead/src/Coordination/Replica/GroupSetup.cpp
+++ b/Apricothead/src/Coordination/Replica/GroupSetup.cpp
@@ -75,7 +75,9 @@
     entry.set_term(change.hardState->term);
     entry.set_index(log.lastIndex() + 1);
     entry.set_kind(Wire::ENTRY_KIND_MEMBERSHIP);
-    entry.set_data(soleMember(settings, store->replica()).SerializeAsString());
+    Wire::Membership membership = soleMember(settings, store->replica());
+    membership.set_recoveries(log.membership().recoveries() + 1);
+    entry.set_data(membership.SerializeAsString());
     change.entries.push_back(std::move(entry));
     BOOST_OUTCOME_TRYV(store->save(change));
     return log.lastIndex();
--- a/Apricothead/src/Coordination/Replica/MembershipChange.cpp
+++ b/Apricothead/src/Coordination/Replica/MembershipChange.cpp
@@ -25,11 +25,11 @@
     return nullptr;
 }
 
-bool hasCommonMember(const Wire::Membership &left, const Wire::Membership &right)
+bool hasCommonHistory(const Wire::Membership &left, const Wire::Membership &right)
 {
-    return std::any_of(left.members().begin(), left.members().end(), [&right](const Wire::Member &member) {
-        return findMember(right, member.replica()) != nullptr;
-    });
+    return left.recoveries() == right.recoveries() && std::any_of(left.members().begin(), left.members().end(), [&right](const Wire::Member &member) {
+               return findMember(right, member.replica()) != nullptr;
+           });
 }
 
 Wire::Membership withLearner(const Wire::Membership &membership, const Wire::Member &added)
@@ -53,6 +53,7 @@
 Wire::Membership without(const Wire::Membership &membership, const std::string &replica)
 {
     Wire::Membership result;
+    result.set_recoveries(membership.recoveries());
     for (const Wire::Member &member : membership.members()) {
         if (member.replica() != replica) {
             *result.add_members() = member;
--- a/Apricothead/src/Coordination/Replica/MembershipChange.h
+++ b/Apricothead/src/Coordination/Replica/MembershipChange.h
@@ -58,8 +58,9 @@
 /** \returns the member at \a address, null when there is none */
 const Wire::Member *findAddress(const Wire::Membership &membership, const std::string &address);
 
-/** \returns whether a replica is a member of both; identities are unique, so these are memberships of the same group */
-bool hasCommonMember(const Wire::Membership &left, const Wire::Membership &right);
+/** \returns whether both are of one group without a recovery in between, so that what is committed in one is committed in the other. Identities are
+ * unique, so a common member proves the group. */
+bool hasCommonHistory(const Wire::Membership &left, const Wire::Membership &right);
 
 Wire::Membership withLearner(const Wire::Membership &membership, const Wire::Member &added);
 Wire::Membership withPromoted(const Wire::Membership &membership, const std::string &replica);
--- a/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
@@ -937,7 +937,8 @@
     Wire::Membership inviting;
     *inviting.mutable_members() = invite.members();
     const bool empty = this->raft->log().lastIndex() == 0;
-    if (!empty && !detail::hasCommonMember(inviting, this->raft->membership())) {
+    inviting.set_recoveries(invite.recoveries());
+    if (!empty && !detail::hasCommonHistory(inviting, this->raft->membership())) {
         reply->mutable_error()->set_code(Wire::ERROR_CODE_NOT_ALLOWED);
         reply->mutable_error()->set_message("the data folder of " + this->settings.replica->address + " already holds other state");
         reply->mutable_error()->set_remedy("start that replica with an empty data folder");
@@ -975,6 +976,7 @@
         Wire::Envelope message = this->links->envelope();
         message.mutable_invite()->set_group(this->settings.group);
         *message.mutable_invite()->mutable_members() = this->raft->membership().members();
+        message.mutable_invite()->set_recoveries(this->raft->membership().recoveries());
         if (this->links->sendTo(address, message)) {
             this->change->invitedMs = this->now();
         }
--- a/test/replica.cpp
+++ b/test/replica.cpp
@@ -293,6 +293,36 @@
     BOOST_TEST(organisationsOf(client).size() >= 11U);
 }
 
+BOOST_AUTO_TEST_CASE(formerMemberOfARecoveredGroupStaysOutWithItsDisk)
+{
+    constexpr std::chrono::seconds JoinTime{3};
+    ReplicaGroup group(3);
+    BOOST_REQUIRE(group.startAll());
+    BlockingClient client(group.seeds);
+    BOOST_REQUIRE(becomesRedundant(client));
+    BOOST_TEST(makeChanges(client, "before", 10) == 10U);
+    const std::size_t survivor = group.leader();
+    const std::size_t former = (survivor + 1) % 3;
+    const std::string identity = group.replicas[survivor]->replica();
+    for (std::size_t number = 0; number < 3; ++number) {
+        group.kill(number);
+    }
+    BOOST_REQUIRE(static_cast<bool>(recoverGroup(group.options(survivor).settings, identity)));
+    BOOST_REQUIRE(group.start(survivor));
+    BOOST_TEST(makeChanges(client, "after", 5) == 5U);
+    // It may hold acknowledged entries that the recovered group lacks.
+    BOOST_REQUIRE(group.start(former));
+    std::this_thread::sleep_for(JoinTime);
+    BOOST_TEST(client.status().replicas_size() == 1);
+    BOOST_TEST(makeChanges(client, "alone", 5) == 5U);
+    // Without its disk it is welcome.
+    group.wipe(former);
+    BOOST_REQUIRE(group.start(former));
+    BOOST_TEST(waitFor([&client] {
+        return client.status().replicas_size() == 2;
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(aFailedSyncStopsTheReplicaFromAnswering)
 {
     std::atomic<std::size_t> failing{3};
