--- a/Apricothead/src/Decisions/ServiceRolloutEvaluator.cpp
+++ b/Apricothead/src/Decisions/ServiceRolloutEvaluator.cpp
@@ -35,9 +35,9 @@
 
 void ServiceRolloutEvaluator::recordCounts(const std::string &gateway, const std::vector<Wire::VersionCount> &versions)
 {
-    std::map<Key, Wire::VersionCount> &last = this->lastCounts[gateway];
+    std::map<VersionRoute, Wire::VersionCount> &last = this->lastCounts[gateway];
     for (const Wire::VersionCount &current : versions) {
-        const Key key{.service = current.service(), .version = current.version(), .route = current.route()};
+        const VersionRoute key{.service = current.service(), .version = current.version(), .route = current.route()};
         Wire::VersionCount &previous = last[key];
         const bool restarted = current.answers() < previous.answers();
         RolloutCounts &counts = this->totals[key];
--- a/Apricothead/src/Decisions/ServiceRolloutEvaluator.h
+++ b/Apricothead/src/Decisions/ServiceRolloutEvaluator.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include "VersionRoute.h"
+
 #include "../Protocol/Messages.h"
 
 #include <cstdint>
 #include <map>
 #include <string>
-#include <tuple>
 #include <vector>
 
 namespace Apricothead {
@@ -86,15 +87,6 @@
     Wire::SetServiceRollout decide(const Wire::ServiceRollout &rollout, std::uint64_t elapsedMs);
 
 private:
-    struct Key {
-        std::string service;
-        std::string version;
-        std::string route;
-        bool operator<(const Key &other) const
-        {
-            return std::tie(this->service, this->version, this->route) < std::tie(other.service, other.version, other.route);
-        }
-    };
     std::string findFault(const Wire::ServiceRollout &rollout) const;
     RolloutCounts sumCounts(const std::string &service, const std::string &target, bool isTarget, const std::string *route) const;
     unsigned canaryShare() const;
@@ -107,8 +99,8 @@
     /** The share seen last, and the answers of the new version before it. */
     unsigned lastShare = 0;
     std::uint64_t answersBeforeShare = 0;
-    std::map<std::string, std::map<Key, Wire::VersionCount>> lastCounts;
-    std::map<Key, RolloutCounts> totals;
+    std::map<std::string, std::map<VersionRoute, Wire::VersionCount>> lastCounts;
+    std::map<VersionRoute, RolloutCounts> totals;
 };
 
 } // namespace Apricothead
--- a/Apricothead/src/Gateway/VersionCounts.h
+++ b/Apricothead/src/Gateway/VersionCounts.h
@@ -1,27 +1,14 @@
 #pragma once
 
+#include "../Decisions/VersionRoute.h"
 #include "../Protocol/Messages.h"
 
-#include <compare>
 #include <cstdint>
 #include <map>
-#include <string>
 #include <vector>
 
 namespace Apricothead {
 
-/** \class VersionRoute
- * \ingroup Gateway_Module
- * \brief A version of a service, as used by the requests of one route.
- */
-struct VersionRoute {
-    std::string service;
-    std::string version;
-    std::string route;
-
-    auto operator<=>(const VersionRoute &) const = default;
-};
-
 /** \class VersionCounts
  * \ingroup Gateway_Module
  * \brief Counts the attempts and responses of each service version on each route, since this gateway started.
