--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <sstream>
 #include <utility>
 
 namespace Apricothead {
@@ -48,6 +49,17 @@
     return number;
 }
 
+/** \returns the ids of the parts in hexadecimal, separated by commas */
+std::string promptPartsText(const std::vector<PromptPart> &prompt)
+{
+    std::ostringstream text;
+    text << std::hex;
+    for (const PromptPart &part : prompt) {
+        text << (text.tellp() > 0 ? "," : "") << part.id;
+    }
+    return text.str();
+}
+
 } // namespace
 
 ForwardRun::ForwardRun(GatewayContext &givenContext,
@@ -84,6 +96,11 @@
     return this->deadlineMs > nowMs ? this->deadlineMs - nowMs : 0;
 }
 
+std::int64_t ForwardRun::sinceAnswerMs() const
+{
+    return this->attempt->answeredMs == 0 ? -1 : static_cast<std::int64_t>(this->now() - this->attempt->answeredMs);
+}
+
 bool ForwardRun::isStreaming() const
 {
     return this->route.repeat() == Wire::REPEAT_RULE_STREAM;
@@ -336,6 +353,7 @@
     if (std::exchange(current.wasAnswered, true)) {
         return;
     }
+    current.answeredMs = this->now();
     const std::uint64_t tookMs = this->now() - current.startedMs;
     this->context.endpoints.recordAnswer(current.choice, tookMs, this->now());
     this->context.versionCounts.recordAnswer(this->versionRoute(current.choice), failed, current.startedMs, this->now());
@@ -344,6 +362,7 @@
 void ForwardRun::handleDone(const HttpResult &result)
 {
     Attempt &current = *this->attempt;
+    current.transportError = result.error;
     if (result.neverSent) {
         this->failAttempt(AttemptOutcome::Unreachable, Verdict::NotRun, "unreachable");
         return;
@@ -433,7 +452,10 @@
              {"why", reason},
              {"verdict", std::string(verdictName(last))},
              {"status", static_cast<std::uint64_t>(current.head.status)},
-             {"tookMs", this->now() - current.startedMs}});
+             {"tookMs", this->now() - current.startedMs},
+             {"answeredForMs", this->sinceAnswerMs()},
+             {"error", current.transportError},
+             {"parts", promptPartsText(this->request.prompt)}});
     this->context.metrics.count("attempts_ended_total", reason);
     // An endpoint that could not be reached has received nothing, so the retry takes nothing from the budget.
     const bool shouldRetry = this->canRetry(last) && (outcome == AttemptOutcome::Unreachable || this->context.retries.tryAcquire(this->service, this->now()));
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -48,6 +48,10 @@
         std::string body;
         EventSplitter events;
         std::uint64_t startedMs = 0;
+        /** When the answer began: its first event or the whole of a plain answer. 0 before. */
+        std::uint64_t answeredMs = 0;
+        /** The transport's description of the end; empty while the attempt runs and when the answer was whole. */
+        std::string transportError;
         /** When the head, bytes of a plain answer or a whole event of a stream last arrived. */
         std::uint64_t lastReceivedMs = 0;
     };
@@ -71,6 +75,8 @@
     void recordAnswer(bool failed);
     bool isStreaming() const;
     static bool isSuccess(const EndpointResponseHead &head);
+    /** \returns the ms since the answer of the current attempt began, -1 before */
+    std::int64_t sinceAnswerMs() const;
 
     // Ending attempts and the request
     /** Ends the current attempt and its accounting. All other functions end an attempt through this one. */
