--- a/test/scriptedendpoint.h
+++ b/test/scriptedendpoint.h
@@ -104,6 +104,18 @@
         return this->heads;
     }
 
+    /** Ends like a process that crashes: its connections are reset and new ones are refused. May be called by the script. */
+    void crash()
+    {
+        constexpr linger Now{.l_onoff = 1, .l_linger = 0};
+        shutdown(this->listener, SHUT_RDWR);
+        const std::lock_guard lock(this->mutex);
+        for (const int descriptor : this->open) {
+            setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
+            shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+
     unsigned connectionCount() const
     {
         return this->accepted;
