A part of a prompt that crashes endpoints is withheld by all gateways

Cause: an attempt that ended with its endpoint was taken for the endpoint's fault. The request was sent on to the next one, up to three times, and later requests with the same part were taken for sound, as no gateway kept or shared what was unanswered when an endpoint crashed. A request that went to a larger model on the head of its answer left its first endpoint before the crash, which then had no cause. Change: gateways tell a crash from a lost connection by connecting once (CrashWatch) and report the requests that awaited their answers. The leader puts the reports into the log (SuspectTable), so that the crashes of all gateways add up and outlast restarts. Each gateway decides by that evidence (PartQuarantine): several incidents and several requests condemn a part, an answer clears it, parts with equal evidence are withheld only together. Withheld requests are refused at once with 503 and Retry-After; one request in a while is sent as a trial, granted by the log. A request with evidence against it is not repeated, and the choice of a larger model waits for the first event of a request whose parts are not cleared. No message is added to sound traffic.

--- a/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
@@ -11,8 +11,10 @@
 #include "ServiceRolloutDriver.h"
 #include "ServingPublisher.h"
 
+#include "../../Decisions/PartQuarantine.h"
 #include "../../State/Raft.h"
 #include "../../State/StateMachine.h"
+#include "../../State/SuspectTable.h"
 #include "../../Transport/EventLoop.h"
 #include "../../Transport/Log.h"
 #include "../../Transport/Timer.h"
@@ -34,6 +36,8 @@
 /** A longer gap between two maintenance calls means that this process was suspended. */
 constexpr std::uint64_t PauseDetectionMs = 1000;
 constexpr std::uint64_t InviteRetryIntervalMs = 500;
+/** Least time between two log entries with evidence on suspect parts; evidence that comes meanwhile shares the next one. */
+constexpr std::uint64_t EvidenceIntervalMs = 100;
 /** Added to the heartbeat interval: ticks until a leader's first message reaches a replica that has just started, including the connection
  * setup. */
 constexpr unsigned FirstElectionSlackTicks = 3;
@@ -170,6 +174,8 @@
     // Gateways
     void createPublisher();
     void advanceRollouts();
+    void recordEvidence(const Wire::UpdateSuspects &evidence);
+    void proposeEvidence();
     void handleJoin(const Wire::Join &join);
     void requestJoin();
 
@@ -195,6 +201,9 @@
     std::unique_ptr<Raft> raft;
     std::unique_ptr<ReplicaLinks> links;
     std::unique_ptr<ServingPublisher> publisher;
+    /** Evidence on suspect parts that is yet to be proposed. */
+    Wire::UpdateSuspects pendingEvidence;
+    std::uint64_t lastEvidenceMs = 0;
     ServiceRolloutDriver rollouts;
     MembershipRepair repair;
     Timer tickTimer;
@@ -357,6 +366,10 @@
                 *message.mutable_update() = update;
                 this->links->reply(peer, message, common);
             },
+        .onEvidence =
+            [this](const Wire::UpdateSuspects &evidence) {
+                this->recordEvidence(evidence);
+            },
         .relay =
             [this](const Wire::Announcements &announcements) {
                 Wire::Envelope message = this->links->envelope();
@@ -1072,6 +1085,8 @@
     this->requestJoin();
     // A leader acts on the state only after it has applied an entry of its own term, and thereby all earlier entries.
     if (this->raft->role() != RaftRole::Leader || this->appliedTerm != this->raft->term()) {
+        // Gateways report it to the next leader.
+        this->pendingEvidence.Clear();
         return;
     }
     this->watchEndpoints();
@@ -1079,6 +1094,44 @@
     this->advanceChange();
     this->repairMembership();
     this->advanceRollouts();
+    this->proposeEvidence();
+}
+
+void ReplicaTask::Private::recordEvidence(const Wire::UpdateSuspects &evidence)
+{
+    Wire::ServingState state;
+    *state.mutable_suspects() = this->machine.serving().suspects();
+    SuspectTable(*state.mutable_suspects()).apply(this->pendingEvidence, 0);
+    // Gateways repeat what they have not heard to be received.
+    if (!SuspectTable(*state.mutable_suspects()).apply(evidence, 0)) {
+        return;
+    }
+    this->pendingEvidence.MergeFrom(evidence);
+    const bool isLeading = this->raft->role() == RaftRole::Leader && this->appliedTerm == this->raft->term();
+    if (isLeading && this->now() - this->lastEvidenceMs >= EvidenceIntervalMs) {
+        this->proposeEvidence();
+    }
+}
+
+void ReplicaTask::Private::proposeEvidence()
+{
+    if (this->pendingEvidence.crashes_size() == 0 && this->pendingEvidence.cleared_size() == 0) {
+        return;
+    }
+    this->lastEvidenceMs = this->now();
+    for (const Wire::EndpointCrash &crash : this->pendingEvidence.crashes()) {
+        logLine(LogLevel::Warning,
+                "endpoint-crash-reported",
+                {{"endpoint", crash.endpoint()}, {"bornMs", crash.born_ms()}, {"awaiting", static_cast<std::uint64_t>(crash.requests_size())}});
+    }
+    for (const Wire::PartClearance &clearance : this->pendingEvidence.cleared()) {
+        logLine(LogLevel::Info,
+                "part-cleared",
+                {{"part", partText(clearance.part())}, {"crashes", static_cast<std::uint64_t>(clearance.crashes())}, {"evidence", clearance.evidence()}});
+    }
+    Wire::Command command;
+    *command.mutable_update_suspects() = std::exchange(this->pendingEvidence, {});
+    this->propose(std::move(command), [](Wire::ProposeStatus, const Wire::CommandResult *) {});
 }
 
 void ReplicaTask::Private::advanceRollouts()
--- a/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
+++ b/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
@@ -41,6 +41,7 @@
     gateway.loads.assign(heartbeat.loads().begin(), heartbeat.loads().end());
     if (this->options.isLeader()) {
         this->prompts.add(heartbeat.loads());
+        this->handleEvidence(heartbeat);
     }
     gateway.heldSessions.assign(heartbeat.held_sessions().begin(), heartbeat.held_sessions().end());
     Wire::ClusterUpdate update;
@@ -63,6 +64,17 @@
     }
 }
 
+void ServingPublisher::handleEvidence(const Wire::Heartbeat &heartbeat)
+{
+    if (heartbeat.crashes_size() == 0 && heartbeat.cleared_size() == 0) {
+        return;
+    }
+    Wire::UpdateSuspects evidence;
+    *evidence.mutable_crashes() = heartbeat.crashes();
+    *evidence.mutable_cleared() = heartbeat.cleared();
+    this->options.onEvidence(std::move(evidence));
+}
+
 void ServingPublisher::handlePeerGone(const PeerId &peer)
 {
     this->gateways.erase(peer);
@@ -76,6 +88,7 @@
         return;
     }
     *update.mutable_serving()->mutable_rollouts() = state.rollouts();
+    *update.mutable_serving()->mutable_suspects() = state.suspects();
     update.mutable_serving()->set_number(state.number());
     if (gateway.planRevision < state.plan().revision()) {
         *update.mutable_serving()->mutable_plan() = state.plan();
--- a/Apricothead/src/Coordination/Replica/ServingPublisher.h
+++ b/Apricothead/src/Coordination/Replica/ServingPublisher.h
@@ -28,6 +28,8 @@
     std::function<std::uint64_t()> startRead;
     /** Sends an update. \a common: a serialised envelope to be appended, whose update is thereby merged into this one; empty for none. */
     std::function<void(const PeerId &, const Wire::ClusterUpdate &, const std::string &common)> send;
+    /** Evidence for and against suspect parts, from a gateway's heartbeat to the leader. */
+    std::function<void(Wire::UpdateSuspects)> onEvidence;
     /** Sends announcements to the other replicas. */
     std::function<void(const Wire::Announcements &)> relay;
 };
@@ -95,6 +97,7 @@
         std::uint64_t promptRound = 0;
         std::vector<std::uint64_t> heldSessions;
     };
+    void handleEvidence(const Wire::Heartbeat &heartbeat);
     bool hasCurrentLoads(const Gateway &gateway) const;
     /** \returns the part of a lease confirmation that is the same for all gateways, serialised */
     std::string commonConfirmation() const;
--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -381,6 +381,7 @@
     return EndpointChoice{
         .endpoint = announcement.endpoint(),
         .address = announcement.address(),
+        .bornMs = announcement.born_ms(),
         .version = announcement.version(),
         .expectedMs = best.expectedMs,
         .uncachedTokens = best.uncachedTokens,
@@ -445,6 +446,14 @@
     endpoint.failedShare = 0;
 }
 
+void DirectEndpoints::recordCrash(const std::string &name, std::uint64_t nowMs)
+{
+    const auto found = this->known.find(name);
+    if (found != this->known.end()) {
+        this->eject(found->second, nowMs);
+    }
+}
+
 void DirectEndpoints::recordEnd(const EndpointChoice &choice, AttemptOutcome outcome, bool wasAnswered, std::uint64_t nowMs)
 {
     const auto found = this->known.find(choice.endpoint);
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -51,6 +51,8 @@
 struct EndpointChoice {
     std::string endpoint;
     std::string address;
+    /** Start of the endpoint's incarnation, ms since 1970 by its own clock. */
+    std::int64_t bornMs = 0;
     std::string version;
     /** Predicted time to the first event. */
     double expectedMs = 0;
@@ -163,6 +165,8 @@
     void recordStart(const EndpointQuery &query, const EndpointChoice &choice);
     /** Records that the first event or the head of the answer arrived \a tookMs after the attempt was sent. */
     void recordAnswer(const EndpointChoice &choice, std::uint64_t tookMs, std::uint64_t nowMs);
+    /** Ejects an endpoint that refuses connections. */
+    void recordCrash(const std::string &endpoint, std::uint64_t nowMs);
     /** Records the end of an attempt. \a wasAnswered: whether recordAnswer() was called for it. */
     void recordEnd(const EndpointChoice &choice, AttemptOutcome outcome, bool wasAnswered, std::uint64_t nowMs);
 
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <sstream>
 #include <utility>
 
 namespace Apricothead {
@@ -38,6 +37,10 @@
 /** Retry-After as a fraction of the caller's remaining time. */
 constexpr double RetryAfterFraction = 0.15;
 constexpr std::uint64_t MaxRetryAfterMs = 1500;
+/** An endpoint that crashes under a request does so within this time after it began to answer. */
+constexpr std::uint64_t AnswerSettlingMs = 150;
+/** Retry-After of a request that is withheld until an operator clears it. */
+constexpr std::uint64_t WithheldRetryAfterMs = 60'000;
 
 std::optional<std::uint64_t> parseEventNumber(const std::string &id)
 {
@@ -49,15 +52,32 @@
     return number;
 }
 
-/** \returns the ids of the parts in hexadecimal, separated by commas */
+/** \returns what identifies \a request as a possible cause of a crash */
+SuspectRequest suspectRequest(const ForwardRequest &request)
+{
+    SuspectRequest suspect;
+    if (request.prompt.size() < 2) {
+        const std::string whole = request.method + ' ' + request.target + '\n' + request.body;
+        suspect.parts.push_back(XXH3_64bits(whole.data(), whole.size()));
+        // Repeats of such a request count one by one: nothing but themselves can be at fault.
+        suspect.fingerprint = XXH3_64bits(request.id.data(), request.id.size());
+        return suspect;
+    }
+    suspect.fingerprint = request.prompt.back().id;
+    for (auto part = request.prompt.begin(); part + 1 != request.prompt.end(); ++part) {
+        suspect.parts.push_back(part->id);
+    }
+    return suspect;
+}
+
+/** \returns the ids of the parts of \a prompt as they are shown to operators */
 std::string promptPartsText(const std::vector<PromptPart> &prompt)
 {
-    std::ostringstream text;
-    text << std::hex;
+    std::vector<std::uint64_t> parts;
     for (const PromptPart &part : prompt) {
-        text << (text.tellp() > 0 ? "," : "") << part.id;
+        parts.push_back(part.id);
     }
-    return text.str();
+    return partsText(parts);
 }
 
 } // namespace
@@ -116,6 +136,7 @@
     }
     this->lastEventId = this->request.lastEventId;
     this->model = this->request.anyModel ? ModelEscalation::first(this->route) : this->request.model;
+    this->suspect = suspectRequest(this->request);
     const std::string &drawKey = this->request.session.empty() ? this->request.id : this->request.session;
     this->draw = uniformHash(drawKey);
     this->service = PlanIndex::serviceFor(this->route, XXH3_64bits_withSeed(this->request.id.data(), this->request.id.size(), 1));
@@ -158,6 +179,10 @@
         this->timeOut("deadline");
         return;
     }
+    if (const std::optional<WithheldParts> withheld = this->withheldParts()) {
+        this->handleWithheld(*withheld);
+        return;
+    }
     const EndpointQuery query = this->endpointQuery();
     const std::optional<EndpointChoice> choice = this->context.endpoints.choose(query, this->now());
     if (!choice) {
@@ -167,6 +192,62 @@
     this->send(query, *choice);
 }
 
+std::optional<WithheldParts> ForwardRun::withheldParts() const
+{
+    return this->isTrial ? std::nullopt : this->context.quarantine.withheldParts(this->suspect, this->now());
+}
+
+void ForwardRun::handleWithheld(const WithheldParts &withheld)
+{
+    const bool isNew = this->sends == 0 && this->context.startTrial;
+    if (!isNew || !this->context.quarantine.shouldRequestTrial(withheld, this->now())) {
+        this->refuseWithheld(withheld);
+        return;
+    }
+    this->context.startTrial(withheld.parts, [this, withheld, token = this->alive](bool granted) {
+        if (!*token || this->isEnded) {
+            return;
+        }
+        logLine(LogLevel::Info, "part-trial", {{"request", this->request.id}, {"parts", partsText(withheld.parts)}, {"granted", granted}});
+        if (!granted) {
+            this->refuseWithheld(withheld);
+            return;
+        }
+        this->isTrial = true;
+        this->dispatch();
+    });
+}
+
+void ForwardRun::refuseWithheld(const WithheldParts &withheld)
+{
+    logLine(LogLevel::Warning,
+            "request-withheld",
+            {{"request", this->request.id},
+             {"parts", partsText(withheld.parts)},
+             {"crashes", static_cast<std::uint64_t>(withheld.crashes)},
+             {"trialMs", withheld.trialMs ? static_cast<std::int64_t>(*withheld.trialMs) : -1}});
+    this->context.metrics.count("requests_withheld_total", partsText(withheld.parts));
+    if (this->isStreamStarted || this->verdict != Verdict::NotRun) {
+        this->failRequest("part-withheld");
+        return;
+    }
+    this->sendError(StatusUnavailable, "part-withheld", std::max(MaxRetryAfterMs, withheld.trialMs.value_or(WithheldRetryAfterMs)));
+}
+
+void ForwardRun::withdrawIfWithheld()
+{
+    if (this->isEnded || !this->attempt || this->attempt->wasAnswered) {
+        return;
+    }
+    const std::optional<WithheldParts> withheld = this->withheldParts();
+    if (!withheld) {
+        return;
+    }
+    this->closeAttempt(AttemptOutcome::Cancelled);
+    this->verdict = combined(this->verdict, Verdict::MayHaveRun);
+    this->refuseWithheld(*withheld);
+}
+
 VersionRoute ForwardRun::versionRoute(const EndpointChoice &choice) const
 {
     return {.service = this->service, .version = choice.version, .route = this->route.name()};
@@ -248,7 +329,9 @@
         this->failAttempt(AttemptOutcome::Incomplete, Verdict::MayHaveRun, "answer-spoiled");
         return;
     }
-    if (this->shouldEscalate()) {
+    // An endpoint that crashes under the request does so after the head. The evidence would be lost with the attempt, and the harm carried on.
+    current.isEscalationDeferred = !this->context.quarantine.unclearedParts(this->suspect, this->now()).empty();
+    if (!current.isEscalationDeferred && this->shouldEscalate()) {
         this->escalate();
     }
 }
@@ -317,6 +400,10 @@
 {
     Attempt &current = *this->attempt;
     while (const std::optional<StreamEvent> event = current.events.next()) {
+        if (std::exchange(current.isEscalationDeferred, false) && this->shouldEscalate()) {
+            this->escalate();
+            return;
+        }
         if (!this->forwardEvent(*event)) {
             this->failAttempt(AttemptOutcome::Incomplete, Verdict::MayHaveRun, "event-out-of-order");
             return;
@@ -344,9 +431,42 @@
         this->lastEventId = event.id;
     }
     this->reply->write(event.bytes);
+    if (!this->isAwaitingAnswer()) {
+        this->settleAnswer();
+    }
     return true;
 }
 
+bool ForwardRun::isAwaitingAnswer() const
+{
+    const Attempt &current = *this->attempt;
+    return !current.isSettled && (!current.wasAnswered || this->now() - current.answeredMs < AnswerSettlingMs);
+}
+
+void ForwardRun::settleAnswer()
+{
+    Attempt &current = *this->attempt;
+    if (!std::exchange(current.isSettled, true)) {
+        this->context.quarantine.recordAnswered(this->suspect.parts, current.choice.endpoint, current.answeredMs);
+    }
+}
+
+void ForwardRun::recordLoss()
+{
+    if (!this->isAwaitingAnswer()) {
+        return;
+    }
+    // Its first loss may have had another cause, so a request that nothing speaks against is repeated once.
+    this->isHarmful = this->isTrial || this->context.quarantine.isSuspect(this->suspect, this->now());
+    this->context.crashes.recordLoss(this->attempt->choice, this->suspect);
+}
+
+void ForwardRun::failLost(const std::string &reason)
+{
+    this->recordLoss();
+    this->failAttempt(AttemptOutcome::Incomplete, Verdict::MayHaveRun, reason);
+}
+
 void ForwardRun::recordAnswer(bool failed)
 {
     Attempt &current = *this->attempt;
@@ -372,8 +492,7 @@
         return;
     }
     if (!result.whole || !current.hasHead) {
-        const std::string reason = current.hasHead ? "answer-cut" : "no-answer";
-        this->failAttempt(AttemptOutcome::Incomplete, Verdict::MayHaveRun, reason);
+        this->failLost(current.hasHead ? "answer-cut" : "no-answer");
         return;
     }
     if (current.head.status >= StatusServerError) {
@@ -383,16 +502,18 @@
     }
     if (this->isStreaming() && ForwardRun::isSuccess(current.head)) {
         if (current.events.hasPartialEvent() || !this->isStreamStarted) {
-            this->failAttempt(AttemptOutcome::Incomplete, Verdict::MayHaveRun, "stream-cut");
+            this->failLost("stream-cut");
             return;
         }
         const unsigned status = current.head.status;
+        this->settleAnswer();
         this->closeAttempt(AttemptOutcome::Complete);
         this->reply->finish();
         this->finish(status, "whole");
         return;
     }
     this->recordAnswer(false);
+    this->settleAnswer();
     const EndpointResponseHead head = current.head;
     std::string body = std::move(current.body);
     this->closeAttempt(AttemptOutcome::Complete);
@@ -419,6 +540,9 @@
     if (last == Verdict::NotRun) {
         return true;
     }
+    if (this->isHarmful) {
+        return false;
+    }
     const bool isRepeatable = this->route.repeat() == Wire::REPEAT_RULE_REPEATABLE || (this->isStreaming() && this->route.resumable());
     return isRepeatable && this->runs < this->route.max_attempts();
 }
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -37,6 +37,9 @@
 
     void start();
 
+    /** Takes the request back from its endpoint when it is withheld by now and its answer has not begun. */
+    void withdrawIfWithheld();
+
 private:
     struct Attempt {
         EndpointQuery query;
@@ -45,11 +48,15 @@
         EndpointResponseHead head;
         bool hasHead = false;
         bool wasAnswered = false;
+        /** The choice of a larger model waits for the first event. */
+        bool isEscalationDeferred = false;
         std::string body;
         EventSplitter events;
         std::uint64_t startedMs = 0;
         /** When the answer began: its first event or the whole of a plain answer. 0 before. */
         std::uint64_t answeredMs = 0;
+        /** The answer has gone on for long enough to show that it does not crash its endpoint. */
+        bool isSettled = false;
         /** The transport's description of the end; empty while the attempt runs and when the answer was whole. */
         std::string transportError;
         /** When the head, bytes of a plain answer or a whole event of a stream last arrived. */
@@ -58,6 +65,10 @@
 
     // Sending
     void dispatch();
+    /** Refuses the request, or sends it as the trial of \a withheld when that is due. */
+    void handleWithheld(const WithheldParts &withheld);
+    void refuseWithheld(const WithheldParts &withheld);
+    std::optional<WithheldParts> withheldParts() const;
     EndpointQuery endpointQuery();
     void send(const EndpointQuery &query, const EndpointChoice &choice);
     HttpCallOptions callOptions(const EndpointChoice &choice);
@@ -73,12 +84,20 @@
     bool forwardEvent(const StreamEvent &event);
     void handleDone(const HttpResult &result);
     void recordAnswer(bool failed);
+    /** Records that the answer of the current attempt went on, which clears the parts of the request. */
+    void settleAnswer();
+    /** \returns whether the current attempt could have crashed its endpoint: its answer has not begun, or only just */
+    bool isAwaitingAnswer() const;
+    /** Records that the connection of the current attempt was lost. */
+    void recordLoss();
     bool isStreaming() const;
     static bool isSuccess(const EndpointResponseHead &head);
     /** \returns the ms since the answer of the current attempt began, -1 before */
     std::int64_t sinceAnswerMs() const;
 
     // Ending attempts and the request
+    /** Ends the current attempt after its connection was lost, which may be the request's own doing. */
+    void failLost(const std::string &reason);
     /** Ends the current attempt and its accounting. All other functions end an attempt through this one. */
     void closeAttempt(AttemptOutcome outcome);
     /** Records that the current attempt failed, then retries or ends the request. \a verdict: whether the attempt ran. */
@@ -129,6 +148,11 @@
     /** When the first event was sent to the caller; 0 before. */
     std::uint64_t firstEventMs = 0;
     bool isEnded = false;
+    SuspectRequest suspect;
+    /** The one request with a withheld part that may be sent. */
+    bool isTrial = false;
+    /** The request is held to have crashed an endpoint, and is not sent to another one. */
+    bool isHarmful = false;
     /** Set to false by the destructor; guards callbacks that outlive the run. */
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/Apricothead/src/Gateway/GatewayContext.h
+++ b/Apricothead/src/Gateway/GatewayContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashWatch.h"
 #include "ForwardRequest.h"
 #include "ServingView.h"
 #include "VersionCounts.h"
@@ -7,6 +8,7 @@
 #include "../Coordination/Shared/Metrics.h"
 #include "../Decisions/DirectEndpoints.h"
 #include "../Decisions/ModelEscalation.h"
+#include "../Decisions/PartQuarantine.h"
 #include "../Decisions/RetryWindow.h"
 #include "../Decisions/VersionSplit.h"
 #include "../Protocol/Settings.h"
@@ -41,6 +43,10 @@
     VersionCounts versionCounts;
     Metrics metrics;
     std::unique_ptr<ServingView> view;
+    PartQuarantine quarantine;
+    CrashWatch crashes{loop, {.client = client, .endpoints = endpoints, .quarantine = quarantine, .metrics = metrics}};
+    /** Asks for the right to send one request with withheld parts; the callback is called once. Empty where no trial is possible. */
+    std::function<void(const std::vector<std::uint64_t> &parts, std::function<void(bool granted)>)> startTrial;
     /** Progress checks of the runs. */
     Ticker progressChecks{loop, ProgressCheckInterval};
     /** Called when a run has ended and may be destroyed. */
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -92,6 +92,9 @@
 
     void listen();
     void startServingView();
+    void applyServingState(const Wire::ServingState &state);
+    /** Withdraws requests that may be withheld by now from their endpoints. */
+    void withdrawWithheld();
     void applyAnnouncements(const std::vector<Wire::EndpointAnnouncement> &changed);
     void answerReady(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
     void handleRequest(HttpRequest request, const std::shared_ptr<HttpReply> &reply);
@@ -117,17 +120,26 @@
     const std::uint64_t startedMs;
     Timer shutdownTimer;
     std::uint64_t stoppingSinceMs = 0;
+    /** Withheld parts that were last told in the log. */
+    std::size_t withheldParts = 0;
     std::function<void()> stopped;
 };
 
 void GatewayTask::Private::startServingView()
 {
+    this->context.crashes.onCrash([this] {
+        this->context.view->sendNews();
+        this->withdrawWithheld();
+    });
+    this->context.startTrial = [this](const std::vector<std::uint64_t> &parts, std::function<void(bool)> done) {
+        this->context.view->startTrial(parts, std::move(done));
+    };
     this->context.view = std::make_unique<ServingView>(this->context.loop,
                                                        ServingViewOptions{
                                                            .settings = this->settings,
                                                            .onServingState =
                                                                [this](const Wire::ServingState &state) {
-                                                                   this->context.versionSplit.setState(state, this->context.loop.nowMs());
+                                                                   this->applyServingState(state);
                                                                },
                                                            .onAnnouncements =
                                                                [this](const std::vector<Wire::EndpointAnnouncement> &changed) {
@@ -153,6 +165,19 @@
                                                                [this] {
                                                                    return this->context.versionSplit.heldSessions(this->context.loop.nowMs());
                                                                },
+                                                           .crashReports =
+                                                               [this](std::uint64_t round) {
+                                                                   return this->context.crashes.reports(round);
+                                                               },
+                                                           .clearances =
+                                                               [this] {
+                                                                   return this->context.quarantine.clearances();
+                                                               },
+                                                           .onConfirmed =
+                                                               [this](std::uint64_t round) {
+                                                                   this->context.quarantine.recordContact(this->context.loop.nowMs());
+                                                                   this->context.crashes.confirmReports(round);
+                                                               },
                                                            .onHeldSessions =
                                                                [this](const std::vector<std::uint64_t> &sessions) {
                                                                    this->context.versionSplit.setOtherHeldSessions(sessions, this->context.loop.nowMs());
@@ -160,6 +185,27 @@
                                                        });
 }
 
+void GatewayTask::Private::applyServingState(const Wire::ServingState &state)
+{
+    const std::uint64_t nowMs = this->context.loop.nowMs();
+    this->context.versionSplit.setState(state, nowMs);
+    this->context.quarantine.setSuspects(state.suspects(), nowMs);
+    this->withdrawWithheld();
+}
+
+void GatewayTask::Private::withdrawWithheld()
+{
+    const std::size_t count = this->context.quarantine.withheldCount();
+    if (std::exchange(this->withheldParts, count) != count) {
+        logLine(LogLevel::Warning,
+                "parts-withheld",
+                {{"withheld", static_cast<std::uint64_t>(count)}, {"suspect", static_cast<std::uint64_t>(this->context.quarantine.suspectCount())}});
+    }
+    for (const auto &[key, run] : this->runs) {
+        run->withdrawIfWithheld();
+    }
+}
+
 void GatewayTask::Private::applyAnnouncements(const std::vector<Wire::EndpointAnnouncement> &changed)
 {
     this->context.endpoints.applyAnnouncements(changed);
@@ -221,6 +267,8 @@
     gauge("requests_open", {}, static_cast<double>(this->runs.size()));
     gauge("requests_waiting", {}, static_cast<double>(this->pendingRequests.size()));
     gauge("placement_rebuilds_total", {}, static_cast<double>(this->context.endpoints.rebuilds()));
+    gauge("parts_suspect", {}, static_cast<double>(this->context.quarantine.suspectCount()));
+    gauge("parts_withheld", {}, static_cast<double>(this->context.quarantine.withheldCount()));
     gauge("log_lines_dropped_total", {}, static_cast<double>(droppedLogLines()));
     for (int index = 0; plan && index < plan->plan().services_size(); ++index) {
         const std::string &service = plan->plan().services(index).name();
--- a/Apricothead/src/Gateway/ServingView.cpp
+++ b/Apricothead/src/Gateway/ServingView.cpp
@@ -23,6 +23,8 @@
 /** Interval of comparing digests of the announcements with each replica. One that restarted sends no changes of endpoints that it no longer
  * knows. */
 constexpr std::uint64_t ListCheckIntervalMs = 3000;
+/** A request with a withheld part waits for no longer than this for the right to be tried. */
+constexpr std::chrono::milliseconds TrialTimeout{250};
 /** Lease rounds remembered; a confirmation of an older one is ignored. */
 constexpr std::size_t MaxRounds = 128;
 
@@ -94,6 +96,21 @@
     }
 }
 
+void ServingView::sendNews()
+{
+    this->sendLeaderHeartbeat();
+}
+
+void ServingView::startTrial(const std::vector<std::uint64_t> &parts, std::function<void(bool granted)> done)
+{
+    Wire::Command command;
+    command.mutable_start_part_trial()->mutable_parts()->Add(parts.begin(), parts.end());
+    command.mutable_start_part_trial()->set_process(this->options.settings.process);
+    this->client->propose(std::move(command), TrialTimeout, [done = std::move(done)](const ProposeOutcome &outcome) {
+        done(outcome.status == Wire::PROPOSE_STATUS_APPLIED && outcome.result.done());
+    });
+}
+
 bool ServingView::isHeartbeatDue(const std::string &replica) const
 {
     const auto sent = this->lastHeartbeatMs.find(replica);
@@ -129,6 +146,12 @@
         for (Wire::EndpointLoad &load : this->options.takeOwnLoads()) {
             heartbeat.add_loads()->Swap(&load);
         }
+        for (Wire::EndpointCrash &crash : this->options.crashReports(this->lastRound)) {
+            heartbeat.add_crashes()->Swap(&crash);
+        }
+        for (Wire::PartClearance &clearance : this->options.clearances()) {
+            heartbeat.add_cleared()->Swap(&clearance);
+        }
     }
     const std::vector<std::uint64_t> held = this->options.heldSessions();
     heartbeat.mutable_held_sessions()->Add(held.begin(), held.end());
@@ -187,6 +210,7 @@
 void ServingView::confirmLease(const Wire::ClusterUpdate &update)
 {
     this->gatewayCount = update.gateways();
+    this->options.onConfirmed(update.lease_round());
     this->ownReports.forgetBefore(update.load_round());
     this->options.onLoads(this->ownReports.otherLoads(update.load_round(), update.loads()));
     this->options.onPrompts(update.prompts());
--- a/Apricothead/src/Gateway/ServingView.h
+++ b/Apricothead/src/Gateway/ServingView.h
@@ -39,6 +39,12 @@
     std::function<void(const EndpointLoads &)> onPrompts;
     /** \returns the sessions that this gateway keeps on a former version. \sa VersionSplit::heldSessions() */
     std::function<std::vector<std::uint64_t>()> heldSessions;
+    /** \returns the crashes to be reported with the heartbeat of a lease round */
+    std::function<std::vector<Wire::EndpointCrash>(std::uint64_t round)> crashReports;
+    /** \returns the suspect parts to be reported as answered */
+    std::function<std::vector<Wire::PartClearance>()> clearances;
+    /** The leader has received the heartbeats up to that of this lease round. */
+    std::function<void(std::uint64_t round)> onConfirmed;
     /** The sessions that all other gateways keep on a former version. */
     std::function<void(const std::vector<std::uint64_t> &)> onHeldSessions;
 };
@@ -68,6 +74,12 @@
     /** \returns leaseAgeMs() for logs and metrics, -1 before the first confirmation */
     std::int64_t reportedLeaseAgeMs() const;
 
+    /** Sends the leader a heartbeat at once, for news that should not wait. */
+    void sendNews();
+
+    /** Asks the group for the trial of \a parts together. \a done is called once, with whether it was granted. */
+    void startTrial(const std::vector<std::uint64_t> &parts, std::function<void(bool granted)> done);
+
     /** \returns the number of gateways connected to the leader, this one included; 0 when it is not known */
     std::uint32_t gateways() const;
 
--- a/Apricothead/src/State/ServingTable.cpp
+++ b/Apricothead/src/State/ServingTable.cpp
@@ -1,6 +1,7 @@
 #include "ServingTable.h"
 
 #include "StateErrors.h"
+#include "SuspectTable.h"
 
 #include <algorithm>
 
@@ -79,6 +80,26 @@
     return revisionResult(this->state.plan().revision());
 }
 
+Wire::CommandResult ServingTable::updateSuspects(const Wire::UpdateSuspects &update, std::uint64_t index, std::int64_t timeMs)
+{
+    if (SuspectTable(*this->state.mutable_suspects()).apply(update, timeMs)) {
+        this->state.set_number(index);
+    }
+    Wire::CommandResult result;
+    result.set_done(true);
+    return result;
+}
+
+Wire::CommandResult ServingTable::startPartTrial(const Wire::StartPartTrial &trial, std::uint64_t index, std::int64_t timeMs)
+{
+    Wire::CommandResult result;
+    result.set_done(SuspectTable(*this->state.mutable_suspects()).startTrial(trial.parts(), timeMs));
+    if (result.done()) {
+        this->state.set_number(index);
+    }
+    return result;
+}
+
 void ServingTable::restore(const Wire::ServingState &restored)
 {
     this->state = restored;
--- a/Apricothead/src/State/StateMachine.cpp
+++ b/Apricothead/src/State/StateMachine.cpp
@@ -138,6 +138,10 @@
         return this->serving.startRollout(command.start_service_rollout(), this->appliedIndex, this->timeMs);
     case Wire::Command::kSetServiceRollout:
         return this->serving.setRollout(command.set_service_rollout(), this->appliedIndex);
+    case Wire::Command::kUpdateSuspects:
+        return this->serving.updateSuspects(command.update_suspects(), this->appliedIndex, this->timeMs);
+    case Wire::Command::kStartPartTrial:
+        return this->serving.startPartTrial(command.start_part_trial(), this->appliedIndex, this->timeMs);
     case Wire::Command::BODY_NOT_SET:
         break;
     }
--- a/Apricothead/src/Transport/HttpClient.h
+++ b/Apricothead/src/Transport/HttpClient.h
@@ -41,6 +41,8 @@
     std::chrono::milliseconds total{0};
     /** Uses a kept connection if there is one, and keeps this one. A request is never sent twice: libcurl's own second sending is stopped. */
     bool keepConnection = false;
+    /** Only connects, and closes the connection again: a call that ends whole shows that the peer accepts connections. */
+    bool connectOnly = false;
     /** Bytes sent and not acknowledged for this long break the connection; zero means the system's bound. */
     std::chrono::milliseconds unacknowledged{0};
     /** Bound on all header lines together: interim answers, the head and trailers. A call that receives more ends, and its connection is closed. */
--- a/Apricothead/src/Transport/HttpTransfer.cpp
+++ b/Apricothead/src/Transport/HttpTransfer.cpp
@@ -89,6 +89,7 @@
     curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, this->options.keepConnection ? 0L : 1L);
     curl_easy_setopt(this->easy, CURLOPT_FORBID_REUSE, this->options.keepConnection ? 0L : 1L);
     curl_easy_setopt(this->easy, CURLOPT_MAXAGE_CONN, KeptConnectionSeconds);
+    curl_easy_setopt(this->easy, CURLOPT_CONNECT_ONLY, this->options.connectOnly ? 1L : 0L);
     curl_easy_setopt(this->easy, CURLOPT_PREREQFUNCTION, &HttpTransfer::onBeforeSend);
     curl_easy_setopt(this->easy, CURLOPT_PREREQDATA, this);
     if (this->options.unacknowledged.count() > 0) {
--- a/test/gatewaylease.cpp
+++ b/test/gatewaylease.cpp
@@ -8,6 +8,8 @@
 #include <Apricothead/Gateway>
 #include <Apricothead/Transport>
 
+#include <xxhash.h>
+
 using namespace Apricothead;
 using namespace Apricothead::Test;
 using std::chrono::milliseconds;
@@ -296,3 +298,25 @@
     this->runFor(milliseconds(500));
     BOOST_TEST(this->ask("/keyed/x", "one") == 503U);
 }
+
+BOOST_FIXTURE_TEST_CASE(startedGatewayWithholdsWhatOthersHaveSeen, GatewayFixture)
+{
+    // The request as a whole is the part here, as it has no prompt: its method, target and body.
+    const std::string whole = "GET /open/x\n";
+    Wire::SuspectPart &suspect = *this->leader.state.add_suspects();
+    suspect.set_part(XXH3_64bits(whole.data(), whole.size()));
+    suspect.set_crash_count(2);
+    suspect.set_trial_wait_ms(60000);
+    for (std::uint32_t number = 1; number <= 2; ++number) {
+        Wire::PartCrash &crash = *suspect.add_crashes();
+        crash.set_endpoint("crashed-" + std::to_string(number));
+        crash.set_incident(number);
+        crash.add_requests(number);
+    }
+    this->startGateway(testDialect());
+    this->setConfirming(true);
+    HttpHeaders headers;
+    BOOST_TEST(this->ask("/open/x", {}, &headers) == 503U);
+    BOOST_TEST(headers.contains("retry-after"));
+    BOOST_TEST(this->ask("/open/y", {}) == 200U);
+}
--- a/test/statemachine.cpp
+++ b/test/statemachine.cpp
@@ -310,3 +310,21 @@
     BOOST_TEST(this->machine.restore(this->machine.snapshot()));
     BOOST_TEST(codeOf(this->admit(exampleAdmit("a"))) == Wire::ERROR_CODE_RETIRED);
 }
+
+BOOST_FIXTURE_TEST_CASE(evidenceOnSuspectPartsOutlastsASnapshot, StateMachineFixture)
+{
+    Wire::Command command;
+    Wire::EndpointCrash &crash = *command.mutable_update_suspects()->add_crashes();
+    crash.set_endpoint("e-1");
+    crash.add_requests()->set_fingerprint(7);
+    crash.mutable_requests(0)->add_parts(8);
+    BOOST_TEST(this->apply(command).done());
+    const std::uint64_t number = this->machine.serving().number();
+    BOOST_TEST(number == this->index);
+    // Gateways are told only of what changed.
+    this->apply(command);
+    BOOST_TEST(this->machine.serving().number() == number);
+    BOOST_TEST(this->machine.restore(this->machine.snapshot()));
+    BOOST_REQUIRE(this->machine.serving().suspects_size() == 1);
+    BOOST_TEST(this->machine.serving().suspects(0).crash_count() == 1U);
+}
