An odd entry of another writer costs no memory and names no endpoint

Report of another operator: an entry that is deeply nested, or has a number too large or a port out of range, ended the processes that read it. Here: a heartbeat of 2 million brackets took 149 MB in the process that read it (a replica may have 256 MB, the body bound is 8 MB), numbers out of range were cut down to others (undefined for floating point), and ports such as 99999 and addresses such as 10.0.0.999 were taken and passed on to all gateways, which then tried them.

--- a/Apricothead/src/Coordination/Endpoint/ChatEngine.cpp
+++ b/Apricothead/src/Coordination/Endpoint/ChatEngine.cpp
@@ -1,5 +1,6 @@
 #include "EngineCalls.h"
 
+#include "../../Protocol/BoundedJson.h"
 #include "../../Protocol/ChatAnswer.h"
 #include "../../Protocol/EventStream.h"
 #include "../../Transport/EventLoop.h"
@@ -149,7 +150,7 @@
 EngineLoad parseLoad(const HttpResult &http, const std::string &body)
 {
     EngineLoad load;
-    const nlohmann::json report = nlohmann::json::parse(body, nullptr, false);
+    const nlohmann::json report = parseBoundedJson(body);
     if (!http.whole || http.status >= FirstErrorStatus || !report.is_object()) {
         return load;
     }
@@ -173,7 +174,7 @@
 CacheEvents parseCacheEvents(std::uint64_t since, const HttpResult &http, const std::string &body)
 {
     CacheEvents events;
-    const nlohmann::json report = nlohmann::json::parse(body, nullptr, false);
+    const nlohmann::json report = parseBoundedJson(body);
     if (!http.whole || http.status >= FirstErrorStatus || !report.is_object() || !report.contains("events")) {
         return events;
     }
@@ -196,7 +197,7 @@
     if (http.whole && http.status < FirstErrorStatus) {
         return {};
     }
-    const nlohmann::json reply = nlohmann::json::parse(body, nullptr, false);
+    const nlohmann::json reply = parseBoundedJson(body);
     if (reply.is_object() && reply.contains("error") && reply["error"].is_string()) {
         return reply["error"].get<std::string>();
     }
--- a/Apricothead/src/Protocol/ChatAnswer.cpp
+++ b/Apricothead/src/Protocol/ChatAnswer.cpp
@@ -1,5 +1,7 @@
 #include "ChatAnswer.h"
 
+#include "BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Apricothead {
@@ -47,7 +49,7 @@
         this->ended = true;
         return false;
     }
-    const nlohmann::json event = nlohmann::json::parse(data, nullptr, false);
+    const nlohmann::json event = parseBoundedJson(data);
     if (!event.is_object()) {
         this->errorText = "the engine sent an event that is no JSON object";
         return true;
@@ -112,7 +114,7 @@
 
 std::optional<std::string> streamedChatBody(std::string_view body, std::string_view version, Wire::Priority priority)
 {
-    nlohmann::json request = nlohmann::json::parse(body, nullptr, false);
+    nlohmann::json request = parseBoundedJson(body);
     if (!request.is_object()) {
         return std::nullopt;
     }
--- a/Apricothead/src/Protocol/ChatAssembler.cpp
+++ b/Apricothead/src/Protocol/ChatAssembler.cpp
@@ -1,5 +1,7 @@
 #include "ChatAssembler.h"
 
+#include "BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -120,7 +122,7 @@
 
 bool ChatAssembler::take(std::string_view text)
 {
-    const Json event = Json::parse(text, nullptr, false);
+    const Json event = parseBoundedJson(text);
     if (!event.is_object()) {
         return false;
     }
@@ -183,7 +185,7 @@
     if (text.find("\"choices\":[]") == std::string_view::npos && text.find("\"choices\": []") == std::string_view::npos) {
         return false;
     }
-    const Json event = Json::parse(text, nullptr, false);
+    const Json event = parseBoundedJson(text);
     return event.is_object() && event.contains("usage") && event.contains("choices") && event["choices"].empty();
 }
 
--- a/Apricothead/src/Protocol/ChatRequest.cpp
+++ b/Apricothead/src/Protocol/ChatRequest.cpp
@@ -1,5 +1,7 @@
 #include "ChatRequest.h"
 
+#include "BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <optional>
@@ -116,7 +118,7 @@
 
 outcome::unchecked<ChatRequest, CallerError> parseChatRequest(std::string_view text)
 {
-    const json body = json::parse(text, nullptr, false);
+    const json body = parseBoundedJson(text);
     if (body.is_discarded()) {
         return CallerError{.status = BadRequest, .code = "invalid-json", .field = "body", .message = "the body is no valid JSON"};
     }
--- a/test/platform.cpp
+++ b/test/platform.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <sys/resource.h>
+
 using namespace Apricothead;
 using namespace Apricothead::Platform;
 using Json = nlohmann::json;
@@ -331,3 +333,70 @@
     BOOST_TEST(!head.headers.contains("connection"));
     BOOST_TEST(!head.headers.contains("content-length"));
 }
+
+namespace {
+
+std::string heartbeatWith(const std::string &field, const std::string &value)
+{
+    std::string text = R"({"service":"pool","address":"10.0.0.9:8080","zone":"a","version":"v1","slots":64,"state":"ready","born":5,"sequence":4})";
+    const std::size_t start = text.find("\"" + field + "\":");
+    const std::size_t end = text.find_first_of(",}", start);
+    return text.replace(start, end - start, "\"" + field + "\":" + value);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(oddHeartbeatsNameNoEndpoint)
+{
+    BOOST_TEST(readHeartbeat("i-1", heartbeatWith("slots", "64")).has_value());
+    BOOST_TEST(readHeartbeat("i-1", heartbeatWith("born", "1773031886519")).has_value());
+    for (const char *number : {"-1", "1e300", "99999999999999999999999", "0.5", "\"64\"", "null", "[]", "true"}) {
+        for (const char *field : {"slots", "sequence", "born"}) {
+            const bool isNegativeBirth = field == std::string("born") && number == std::string("-1");
+            BOOST_TEST_CONTEXT(field << " " << number)
+            {
+                BOOST_TEST(readHeartbeat("i-1", heartbeatWith(field, number)).has_value() == isNegativeBirth);
+            }
+        }
+    }
+    for (const char *address :
+         {"10.0.0.9:99999", "10.0.0.9:0", "10.0.0.999:80", "10.0.0:80", "10.0.0.9:80:80", ":80", "10.0.0.9:", "::1:80", "10.0.0.9:0x50"}) {
+        BOOST_TEST_CONTEXT(address)
+        {
+            BOOST_TEST(!readHeartbeat("i-1", heartbeatWith("address", "\"" + std::string(address) + "\"")).has_value());
+        }
+    }
+    const std::string longName(100'000, 'x');
+    BOOST_TEST(!readHeartbeat("i-1", heartbeatWith("service", "\"" + longName + "\"")).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(deeplyNestedDocumentsAreRefusedInLittleMemory)
+{
+    constexpr std::size_t Levels = 2'000'000;
+    constexpr std::size_t MaxGrowthKiB = 16UL * 1024;
+    const std::string nested(Levels, '[');
+    const std::string object = R"({"service":"pool","models":)" + nested;
+    const std::string plan = R"({"version":1,"routes":)" + nested;
+    rusage before{};
+    getrusage(RUSAGE_SELF, &before);
+    BOOST_TEST(!readHeartbeat("i-1", object).has_value());
+    BOOST_TEST(!readHeartbeat("i-1", nested).has_value());
+    BOOST_TEST(!readPlan(plan).has_value());
+    rusage after{};
+    getrusage(RUSAGE_SELF, &after);
+    BOOST_TEST(static_cast<std::size_t>(after.ru_maxrss - before.ru_maxrss) < MaxGrowthKiB);
+}
+
+BOOST_AUTO_TEST_CASE(numbersOfPlansMayHaveFractionsAndMayBeZero)
+{
+    Json document = plan();
+    document["services"][0]["engine"] = {{"slots", 64.0}, {"kv_capacity", 1000.5}, {"models", {{{"name", "small"}, {"cost", 0.0}}}}};
+    const auto read = readPlan(document.dump());
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read.value().services(0).engine_slots() == 64U);
+    BOOST_TEST(read.value().services(0).models(0).cost() == 0.0);
+    document["routes"][0]["timeout_ms"] = 1e300;
+    BOOST_TEST(!readPlan(document.dump()).has_value());
+    BOOST_TEST(!readStartRollout(R"({"service":"pool","target":"v2","duration_s":1e300})").has_value());
+    BOOST_TEST(readStartRollout(R"({"service":"pool","target":"v2","duration_s":2.5})").value().duration_ms() == 2500U);
+}
