A refusal without an id proves nothing on a connection in use again

Here: a repeated refusal with the id of the earlier request was recognised by it; one without an id was taken for proof. In the test the request ran at the faulty endpoint and at a second one (2 runs, status 200 where 502 is due). A request that went to a larger model could also meet the endpoint again that had refused it, under the same id. Change: a refusal is proof if it has the request's id, or if nothing else was sent on its connection. Endpoints that refused a request are not asked again by it. Test: forwardrun, repeatedRefusalIsNoProofForTheNextRequest; failed before, passes.

--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -347,7 +347,7 @@
     }
     EndpointQuery query = this->endpointQuery();
     query.model = next;
-    query.avoid.clear();
+    query.avoid = this->refusingEndpoints;
     const std::optional<EndpointChoice> choice = this->context.endpoints.choose(query, this->now());
     const std::uint64_t elapsedMs = this->now() - this->arrivedMs;
     const bool isWorthwhile = choice
@@ -367,7 +367,8 @@
     ++this->runs;
     this->verdict = combined(this->verdict, Verdict::Ran);
     this->model = ModelEscalation::next(this->route, this->model);
-    this->triedEndpoints.clear();
+    // An endpoint that refused the request could repeat that refusal under the same id.
+    this->triedEndpoints = this->refusingEndpoints;
     logLine(LogLevel::Info, "model-escalated", {{"request", this->request.id}, {"confidence", static_cast<std::int64_t>(*confidence)}, {"model", this->model}});
     this->context.metrics.count("models_escalated_total", this->route.name());
     this->dispatch();
@@ -487,7 +488,14 @@
         this->failAttempt(AttemptOutcome::Unreachable, Verdict::NotRun, "unreachable");
         return;
     }
+    // A refusal without an id may be an earlier one of this connection, repeated.
+    const bool isOwnRefusal = current.head.requestId == this->request.id || !result.isReusedConnection;
+    if (current.hasHead && current.head.isNotRun && result.whole && !isOwnRefusal) {
+        this->failAttempt(AttemptOutcome::Incomplete, Verdict::MayHaveRun, "refusal-unproven");
+        return;
+    }
     if (current.hasHead && current.head.isNotRun && result.whole) {
+        this->refusingEndpoints.push_back(current.choice.endpoint);
         this->failAttempt(AttemptOutcome::Refused, Verdict::NotRun, "endpoint-refused");
         return;
     }
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -136,6 +136,7 @@
     std::unique_ptr<Attempt> attempt;
     std::vector<std::unique_ptr<Attempt>> endedAttempts;
     std::vector<std::string> triedEndpoints;
+    std::vector<std::string> refusingEndpoints;
     /** Reason code of the last failed attempt. */
     std::string lastFailure;
     /** Attempts that ran or may have run. */
--- a/Apricothead/src/Transport/HttpClient.h
+++ b/Apricothead/src/Transport/HttpClient.h
@@ -21,6 +21,8 @@
     bool whole = false;
     /** True when it is certain that no byte of the request left this process, for instance since the connection was refused. */
     bool neverSent = false;
+    /** True when the connection had carried earlier requests, so that bytes on it may belong to those. */
+    bool isReusedConnection = false;
     /** 0 when no head arrived. */
     unsigned status = 0;
     std::string error;
--- a/Apricothead/src/Transport/HttpTransfer.cpp
+++ b/Apricothead/src/Transport/HttpTransfer.cpp
@@ -275,6 +275,9 @@
     HttpResult result;
     result.whole = code == CURLE_OK;
     result.neverSent = code != CURLE_OK && this->sendings == 0;
+    long newConnections = 0;
+    curl_easy_getinfo(this->easy, CURLINFO_NUM_CONNECTS, &newConnections);
+    result.isReusedConnection = newConnections == 0;
     result.status = this->status;
     if (code != CURLE_OK) {
         result.error = this->isSilent ? "no byte received within the silence bound" : curl_easy_strerror(code);
--- a/test/forwardrun.cpp
+++ b/test/forwardrun.cpp
@@ -595,3 +595,41 @@
     BOOST_TEST(reply->body == event(1) + event(2) + event(3) + event(4) + event(5));
     BOOST_TEST(endpoint.requests().size() == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(repeatedRefusalIsNoProofForTheNextRequest)
+{
+    // The endpoint repeats its refusal of the first request in front of the answer to the second one, which it runs.
+    for (const std::string id : {"id: r1\r\n", ""}) {
+        BOOST_TEST_CONTEXT("refusal with '" << id << "'")
+        {
+            const std::string refusal = "HTTP/1.1 503 Full\r\nnot-run: 1\r\n" + id + "content-length: 0\r\n\r\n";
+            unsigned runs = 0;
+            ScriptedEndpoint faulty([&](ScriptedConnection &connection, const std::string &head) {
+                if (headerOf(head, "id") == "r1") {
+                    connection.send(refusal);
+                    return;
+                }
+                ++runs;
+                connection.send(refusal + signedResponse(head, "ran"));
+            });
+            ScriptedEndpoint second([&runs](ScriptedConnection &connection, const std::string &head) {
+                ++runs;
+                connection.send(signedResponse(head, "ran"));
+            });
+            GatewayFixture gateway(Wire::REPEAT_RULE_ONCE, 1);
+            gateway.announce("faulty", faulty.address());
+            BOOST_TEST(gateway.request("r1")->status == 503U);
+            gateway.announce("second", second.address());
+            // Takes the place of the connection of r1.
+            unsigned number = 2;
+            while (faulty.requests().size() < 2 && number < 40) {
+                const auto reply = gateway.request("r" + std::to_string(number));
+                ++number;
+                const bool wasFaulty = faulty.requests().size() == 2;
+                BOOST_TEST(reply->status == (wasFaulty ? 502U : 200U));
+            }
+            BOOST_TEST(faulty.connectionCount() == 1U);
+            BOOST_TEST(runs == number - 2);
+        }
+    }
+}
