What the next endpoint answers ends a broken stream only as a stream does

Report of another operator: a stream had begun and broke off; the next endpoint answered with an error, and its text got into the stream, or the stream ended as if it were complete. Here, of nine such answers: statuses of 300 and more abort the stream as they should. A signed 200 with other text passed that text on as an event; a 200 without a length or a 204, both empty, ended the stream as complete. Change: the first event of a further endpoint must have the number that follows, where events are numbered; an answer with neither a length nor chunks and without an event is taken for broken off. Test: forwardrun, errorOfTheNextEndpointDoesNotGetIntoABrokenStream; failed before for four of the nine answers, passes.

--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -322,6 +322,7 @@
     Attempt &current = *this->attempt;
     current.head = this->context.dialect.readHead(status, headers);
     current.hasHead = true;
+    current.isFramed = headers.contains("content-length") || headers.contains("transfer-encoding");
     current.lastReceivedMs = this->now();
     const bool isOtherRequest = !current.head.requestId.empty() && current.head.requestId != this->request.id;
     if (isOtherRequest || current.head.isEncoded || (ForwardRun::isSuccess(current.head) && (!current.head.isSigned || current.head.requestId.empty()))) {
@@ -416,7 +417,9 @@
 {
     const std::optional<std::uint64_t> number = parseEventNumber(event.id);
     const std::optional<std::uint64_t> last = parseEventNumber(this->lastEventId);
-    if (number && last && *number != *last + 1) {
+    // What a further endpoint sends must go on where the stream broke off.
+    const bool isUnnumbered = !number && last && !this->attempt->wasAnswered;
+    if (isUnnumbered || (number && last && *number != *last + 1)) {
         logLine(LogLevel::Warning, "event-out-of-order", {{"request", this->request.id}, {"id", event.id}, {"last", this->lastEventId}});
         return false;
     }
@@ -509,7 +512,9 @@
         return;
     }
     if (this->isStreaming() && ForwardRun::isSuccess(current.head)) {
-        if (current.events.hasPartialEvent() || !this->isStreamStarted) {
+        // Without a length and an event, nothing tells an answer that has ended from one that was broken off.
+        const bool isEmpty = !current.wasAnswered && (!this->isStreamStarted || !current.isFramed);
+        if (current.events.hasPartialEvent() || isEmpty) {
             this->failLost("stream-cut");
             return;
         }
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -47,6 +47,8 @@
         std::unique_ptr<HttpCall> call;
         EndpointResponseHead head;
         bool hasHead = false;
+        /** The answer has a length or comes in chunks, so that its end can be told from a lost connection. */
+        bool isFramed = false;
         bool wasAnswered = false;
         /** The choice of a larger model waits for the first event. */
         bool isEscalationDeferred = false;
--- a/test/forwardrun.cpp
+++ b/test/forwardrun.cpp
@@ -633,3 +633,43 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(errorOfTheNextEndpointDoesNotGetIntoABrokenStream)
+{
+    const std::string text = "{\"error\":\"overloaded\"}\n\n";
+    const std::vector<std::string> answers{
+        "HTTP/1.1 500 Oops\r\nid: r1\r\nsigned: yes\r\ncontent-length: " + std::to_string(text.size()) + "\r\n\r\n" + text,
+        "HTTP/1.1 404 None\r\nid: r1\r\nsigned: yes\r\ncontent-length: " + std::to_string(text.size()) + "\r\n\r\n" + text,
+        "HTTP/1.1 503 Full\r\nid: r1\r\nnot-run: 1\r\ncontent-length: " + std::to_string(text.size()) + "\r\n\r\n" + text,
+        "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: yes\r\ncontent-length: " + std::to_string(text.size()) + "\r\n\r\n" + text,
+        "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: yes\r\nconnection: close\r\n\r\n" + text,
+        "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: yes\r\nconnection: close\r\n\r\n",
+        "HTTP/1.1 204 None\r\nid: r1\r\nsigned: yes\r\nconnection: close\r\n\r\n",
+        "HTTP/1.1 302 Found\r\nid: r1\r\nsigned: yes\r\nlocation: /\r\ncontent-length: 0\r\n\r\n",
+        "not HTTP at all\r\n\r\n",
+    };
+    for (const std::string &answer : answers) {
+        BOOST_TEST_CONTEXT(answer)
+        {
+            unsigned requests = 0;
+            ScriptedEndpoint endpoint([&](ScriptedConnection &connection, const std::string &head) {
+                if (++requests == 1) {
+                    connection.send(streamHead(head) + chunk(event(1)) + chunk(event(2)));
+                    std::this_thread::sleep_for(milliseconds(30));
+                    connection.reset();
+                    return;
+                }
+                connection.send(answer);
+                connection.close();
+            });
+            GatewayFixture gateway(Wire::REPEAT_RULE_STREAM, 2);
+            gateway.announce("one", endpoint.address());
+            gateway.announce("two", endpoint.address());
+            const auto reply = gateway.request("r1");
+            BOOST_TEST(requests == 2U);
+            BOOST_TEST(reply->body == event(1) + event(2));
+            BOOST_TEST(reply->isAborted);
+            BOOST_TEST(!reply->isComplete);
+        }
+    }
+}
