Endpoints that say in an answer that they leave, or want time, get nothing from this gateway

The gateway read neither: it went by heartbeats alone, which a gateway that is cut off does not hear, and by ejections, which give way when no other endpoint is left. Change: both are read from the head of any answer and kept with the incarnation of the endpoint (DirectEndpoints::recordLeaving, recordPause), so that they hold for first sends, retries, resumed streams, affinity and the last resort. Where all endpoints of a service want time, callers are told when the first one takes requests again.

--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -166,7 +166,7 @@
     std::map<std::string, std::vector<std::string>> names;
     for (const auto &[name, endpoint] : this->known) {
         const Wire::EndpointAnnouncement &announcement = endpoint.announcement;
-        if (announcement.state() != Wire::ANNOUNCED_STATE_READY || announcement.service() != service) {
+        if (!DirectEndpoints::isReady(endpoint) || announcement.service() != service) {
             continue;
         }
         versions[announcement.version()].members.push_back(&endpoint);
@@ -218,7 +218,8 @@
 
 bool DirectEndpoints::canTake(const KnownEndpoint &endpoint, const EndpointQuery &query, bool includeEjected, std::uint64_t nowMs) const
 {
-    if (!includeEjected && endpoint.ejectedUntilMs > nowMs) {
+    const bool isEjected = !includeEjected && endpoint.ejectedUntilMs > nowMs;
+    if (isEjected || endpoint.pausedUntilMs > nowMs) {
         return false;
     }
     return std::find(query.avoid.begin(), query.avoid.end(), endpoint.announcement.endpoint()) == query.avoid.end();
@@ -309,8 +310,8 @@
         }
         for (const KnownEndpoint *endpoint : held->second) {
             const Wire::EndpointAnnouncement &announcement = endpoint->announcement;
-            const bool isReady = announcement.state() == Wire::ANNOUNCED_STATE_READY && announcement.service() == query.service;
-            if (added == MaxHolders || !isReady || query.versions.matches(announcement.version()) != preferredVersions || !canTake(*endpoint)) {
+            const bool isOfService = DirectEndpoints::isReady(*endpoint) && announcement.service() == query.service;
+            if (added == MaxHolders || !isOfService || query.versions.matches(announcement.version()) != preferredVersions || !canTake(*endpoint)) {
                 continue;
             }
             candidateSet.candidates.push_back(endpoint);
@@ -426,7 +427,7 @@
     std::size_t ready = 0;
     std::size_t ejected = 0;
     for (const auto &[name, endpoint] : this->known) {
-        if (endpoint.announcement.service() != service || endpoint.announcement.state() != Wire::ANNOUNCED_STATE_READY) {
+        if (endpoint.announcement.service() != service || !DirectEndpoints::isReady(endpoint)) {
             continue;
         }
         ++ready;
@@ -446,6 +447,34 @@
     endpoint.failedShare = 0;
 }
 
+void DirectEndpoints::recordLeaving(const std::string &name)
+{
+    const auto found = this->known.find(name);
+    if (found != this->known.end() && !std::exchange(found->second.isLeaving, true)) {
+        this->changedServices.insert(found->second.announcement.service());
+    }
+}
+
+void DirectEndpoints::recordPause(const std::string &name, std::uint64_t pauseMs, std::uint64_t nowMs)
+{
+    const auto found = this->known.find(name);
+    if (found != this->known.end()) {
+        found->second.pausedUntilMs = std::max(found->second.pausedUntilMs, nowMs + pauseMs);
+    }
+}
+
+std::uint64_t DirectEndpoints::pauseLeftMs(const std::string &service, std::uint64_t nowMs) const
+{
+    std::optional<std::uint64_t> leastMs;
+    for (const auto &[name, endpoint] : this->known) {
+        if (endpoint.announcement.service() == service && DirectEndpoints::isReady(endpoint)) {
+            const std::uint64_t leftMs = endpoint.pausedUntilMs - std::min(endpoint.pausedUntilMs, nowMs);
+            leastMs = std::min(leastMs.value_or(leftMs), leftMs);
+        }
+    }
+    return leastMs.value_or(0);
+}
+
 void DirectEndpoints::recordCrash(const std::string &name, std::uint64_t nowMs)
 {
     const auto found = this->known.find(name);
@@ -498,13 +527,18 @@
 bool DirectEndpoints::isReady(const std::string &name) const
 {
     const auto found = this->known.find(name);
-    return found != this->known.end() && found->second.announcement.state() == Wire::ANNOUNCED_STATE_READY;
+    return found != this->known.end() && DirectEndpoints::isReady(found->second);
+}
+
+bool DirectEndpoints::isReady(const KnownEndpoint &endpoint)
+{
+    return endpoint.announcement.state() == Wire::ANNOUNCED_STATE_READY && !endpoint.isLeaving;
 }
 
 std::size_t DirectEndpoints::readyCount(const std::string &service) const
 {
     return static_cast<std::size_t>(std::count_if(this->known.begin(), this->known.end(), [&service](const auto &entry) {
-        return entry.second.announcement.service() == service && entry.second.announcement.state() == Wire::ANNOUNCED_STATE_READY;
+        return entry.second.announcement.service() == service && DirectEndpoints::isReady(entry.second);
     }));
 }
 
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -165,6 +165,13 @@
     void recordStart(const EndpointQuery &query, const EndpointChoice &choice);
     /** Records that the first event or the head of the answer arrived \a tookMs after the attempt was sent. */
     void recordAnswer(const EndpointChoice &choice, std::uint64_t tookMs, std::uint64_t nowMs);
+    /** Records that an endpoint said in an answer that it leaves. It gets nothing more until it starts anew, whatever its heartbeats say. */
+    void recordLeaving(const std::string &endpoint);
+    /** Records that an endpoint wants no requests for \a pauseMs. */
+    void recordPause(const std::string &endpoint, std::uint64_t pauseMs, std::uint64_t nowMs);
+    /** \returns the time in ms until some ready endpoint of \a service takes requests again; 0 when one does now or none is known */
+    std::uint64_t pauseLeftMs(const std::string &service, std::uint64_t nowMs) const;
+
     /** Ejects an endpoint that refuses connections. */
     void recordCrash(const std::string &endpoint, std::uint64_t nowMs);
     /** Records the end of an attempt. \a wasAnswered: whether recordAnswer() was called for it. */
@@ -174,7 +181,7 @@
      * The attempt then hangs rather than waits in a queue. Also true when the endpoint is no longer known. */
     bool isOvertaken(const EndpointChoice &choice, std::uint64_t startedMs) const;
 
-    /** \returns whether \a endpoint is known and announced as ready, not as leaving, gone or silent */
+    /** \returns whether \a endpoint is known and ready, not leaving, gone or silent */
     bool isReady(const std::string &endpoint) const;
 
     /** \returns the number of ready endpoints of \a service */
@@ -197,6 +204,9 @@
         unsigned ejections = 0;
         double failedShare = 0;
         std::uint64_t ejectedUntilMs = 0;
+        /** Unlike an ejection, a pause that the endpoint asked for holds even when no other endpoint is left. */
+        std::uint64_t pausedUntilMs = 0;
+        bool isLeaving = false;
         /** Prompts sent since the last report, the oldest first. */
         std::vector<SentPrefix> unreportedPrefixes;
         /** When the most recently sent request that has been answered was sent, by model. */
@@ -229,6 +239,7 @@
         std::uint64_t maxCachedTokens = 0;
         std::vector<const KnownEndpoint *> candidates;
     };
+    static bool isReady(const KnownEndpoint &endpoint);
     KnownEndpoint &findOrAdd(const std::string &endpoint);
     void removeEndpoint(const std::string &endpoint);
     void rebuildGroups(const std::string &service) const;
--- a/Apricothead/src/Gateway/ForwardRequest.h
+++ b/Apricothead/src/Gateway/ForwardRequest.h
@@ -74,6 +74,10 @@
     bool isSigned = false;
     /** The body has a content encoding, applied by an intermediary. */
     bool isEncoded = false;
+    /** The endpoint states that it leaves, and wants no further requests. */
+    bool isLeaving = false;
+    /** Time for which the endpoint wants no requests from this gateway, in ms; nothing when it states none. */
+    std::optional<std::uint64_t> retryAfterMs;
     /** The model's confidence in its answer, 0 to 100; nothing when it reports none. */
     std::optional<int> confidence;
     /** End-to-end header fields for the caller, without hop-by-hop fields. */
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -324,6 +324,7 @@
     current.hasHead = true;
     current.isFramed = headers.contains("content-length") || headers.contains("transfer-encoding");
     current.lastReceivedMs = this->now();
+    this->recordEndpointState(current.head);
     const bool isOtherRequest = !current.head.requestId.empty() && current.head.requestId != this->request.id;
     if (isOtherRequest || current.head.isEncoded || (ForwardRun::isSuccess(current.head) && (!current.head.isSigned || current.head.requestId.empty()))) {
         // The response belongs to another request or was not sent by the endpoint: discard all of it.
@@ -337,6 +338,20 @@
     }
 }
 
+void ForwardRun::recordEndpointState(const EndpointResponseHead &head)
+{
+    const std::string &endpoint = this->attempt->choice.endpoint;
+    if (head.isLeaving && this->context.endpoints.isReady(endpoint)) {
+        logLine(LogLevel::Info, "endpoint-leaving", {{"endpoint", endpoint}, {"request", this->request.id}});
+        this->context.endpoints.recordLeaving(endpoint);
+    }
+    if (head.status == StatusUnavailable && head.retryAfterMs) {
+        logLine(LogLevel::Info, "endpoint-paused", {{"endpoint", endpoint}, {"request", this->request.id}, {"pauseMs", *head.retryAfterMs}});
+        this->context.metrics.count("endpoint_pauses_total", this->service);
+        this->context.endpoints.recordPause(endpoint, *head.retryAfterMs, this->now());
+    }
+}
+
 bool ForwardRun::shouldEscalate()
 {
     const std::string next = this->request.anyModel ? ModelEscalation::next(this->route, this->model) : std::string();
@@ -646,7 +661,8 @@
         return;
     }
     const auto waitMs = static_cast<std::uint64_t>(RetryAfterFraction * static_cast<double>(this->remainingMs()));
-    this->sendError(StatusUnavailable, reason, std::min(waitMs, MaxRetryAfterMs));
+    // Before the first endpoint takes requests again, coming back is in vain.
+    this->sendError(StatusUnavailable, reason, std::max(std::min(waitMs, MaxRetryAfterMs), this->context.endpoints.pauseLeftMs(this->service, this->now())));
 }
 
 void ForwardRun::timeOut(const std::string &reason)
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -81,6 +81,8 @@
 
     // Receiving
     void handleHead(unsigned status, const HttpHeaders &headers);
+    /** Records what an endpoint says of itself in an answer, whichever request the answer is to. */
+    void recordEndpointState(const EndpointResponseHead &head);
     void handleData(std::string_view bytes);
     void forwardEvents();
     bool forwardEvent(const StreamEvent &event);
--- a/test/forwardrun.cpp
+++ b/test/forwardrun.cpp
@@ -673,3 +673,54 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(endpointThatSaysItLeavesGetsNothingMore)
+{
+    ScriptedEndpoint leaving([](ScriptedConnection &connection, const std::string &head) {
+        connection.send(signedResponse(head, "last", "leaving: 1\r\n"));
+    });
+    ScriptedEndpoint staying([](ScriptedConnection &connection, const std::string &head) {
+        connection.send(signedResponse(head, "sound"));
+    });
+    GatewayFixture gateway(Wire::REPEAT_RULE_REPEATABLE);
+    gateway.announce("leaving", leaving.address());
+    BOOST_TEST(gateway.request("r1")->body == "last");
+    // It is the only one, and still gets nothing.
+    BOOST_TEST(gateway.request("r2")->status == 503U);
+    // Its heartbeats say otherwise for a while, as they may be late.
+    gateway.announce("leaving", leaving.address());
+    gateway.announce("staying", staying.address());
+    for (unsigned number = 3; number < 20; ++number) {
+        BOOST_TEST(gateway.request("r" + std::to_string(number))->body == "sound");
+    }
+    BOOST_TEST(leaving.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(endpointThatAsksForTimeGetsItsTime)
+{
+    constexpr milliseconds Asked{1500};
+    bool isBusy = true;
+    ScriptedEndpoint busy([&isBusy](ScriptedConnection &connection, const std::string &head) {
+        if (isBusy) {
+            connection.send("HTTP/1.1 503 Full\r\nnot-run: 1\r\nid: " + headerOf(head, "id") + "\r\nretry-after: 1.5\r\ncontent-length: 0\r\n\r\n");
+            return;
+        }
+        connection.send(signedResponse(head, "sound"));
+    });
+    GatewayFixture gateway(Wire::REPEAT_RULE_REPEATABLE);
+    gateway.announce("one", busy.address());
+    BOOST_TEST(gateway.request("r1")->status == 503U);
+    const std::uint64_t refusedMs = gateway.loop.nowMs();
+    // It is the only one of its service, so the caller is told when it takes requests again.
+    const auto reply = gateway.request("r2");
+    BOOST_TEST(reply->status == 503U);
+    BOOST_REQUIRE(reply->headers.contains("Retry-After"));
+    BOOST_TEST(std::stod(reply->headers.at("Retry-After")) > 1.0);
+    BOOST_TEST(busy.requests().size() == 1U);
+    isBusy = false;
+    gateway.runFor(milliseconds(500));
+    BOOST_TEST(gateway.request("r3")->status == 503U);
+    gateway.runFor(Asked - milliseconds(gateway.loop.nowMs() - refusedMs) + milliseconds(20));
+    BOOST_TEST(gateway.request("r4")->status == 200U);
+    BOOST_TEST(busy.requests().size() == 2U);
+}
--- a/test/platform.cpp
+++ b/test/platform.cpp
@@ -400,3 +400,15 @@
     BOOST_TEST(!readStartRollout(R"({"service":"pool","target":"v2","duration_s":1e300})").has_value());
     BOOST_TEST(readStartRollout(R"({"service":"pool","target":"v2","duration_s":2.5})").value().duration_ms() == 2500U);
 }
+
+BOOST_AUTO_TEST_CASE(endpointsSayThatTheyLeaveOrWantTime)
+{
+    const GatewayDialect dialect = platformDialect();
+    BOOST_TEST(!dialect.readHead(200, {}).isLeaving);
+    BOOST_TEST(dialect.readHead(200, {{"server-leaving", "1"}}).isLeaving);
+    BOOST_TEST(dialect.readHead(503, {{"retry-after", "1.25"}}).retryAfterMs.value() == 1250U);
+    BOOST_TEST(dialect.readHead(503, {{"retry-after", "3"}}).retryAfterMs.value() == 3000U);
+    for (const char *odd : {"", "soon", "-1", "1e99", "nan", "inf", "Wed, 21 Oct 2026 07:28:00 GMT", "999999999999"}) {
+        BOOST_TEST(!dialect.readHead(503, {{"retry-after", odd}}).retryAfterMs.has_value());
+    }
+}
--- a/test/testdialect.h
+++ b/test/testdialect.h
@@ -48,6 +48,11 @@
                     .isSigned = headers.contains("signed"),
                     .isEncoded = headers.contains("content-encoding"),
                 };
+                head.isLeaving = headers.contains("leaving");
+                if (headers.contains("retry-after")) {
+                    constexpr double MsPerSecond = 1000;
+                    head.retryAfterMs = static_cast<std::uint64_t>(std::stod(field("retry-after")) * MsPerSecond);
+                }
                 if (headers.contains("sure")) {
                     head.confidence = std::stoi(field("sure"));
                 }
