Operators see and clear the parts that are held to crash endpoints

A withheld part was told in logs and metrics only, and came back only by its trial. ListSuspectParts shows each part with its crashes, endpoints, times and trials; ClearSuspectPart clears it for all gateways, unless there was further evidence meanwhile. Test: operator, operatorSeesAndClearsASuspectPart (no such methods before).

--- a/Apricothead/src/Coordination/Operator/OperatorMethods.cpp
+++ b/Apricothead/src/Coordination/Operator/OperatorMethods.cpp
@@ -1,5 +1,6 @@
 #include "OperatorMethods.h"
 
+#include "../../Decisions/PartQuarantine.h"
 #include "../../Protocol/KeyHash.h"
 #include "../../State/ConfigurationLookup.h"
 #include "../../State/Ledger.h"
@@ -204,6 +205,72 @@
     });
 }
 
+Wire::Query servingQuery()
+{
+    Wire::Query query;
+    query.set_serving(true);
+    return query;
+}
+
+void listSuspectParts(const Backend &backend,
+                      const OperatorRequest &call,
+                      const Wire::ListSuspectPartsRequest & /*request*/,
+                      const OperatorReplyCallback &callback)
+{
+    runQuery<Wire::ListSuspectPartsResponse>(backend, call, servingQuery(), callback, [](const Wire::QueryReply &reply, auto &response) {
+        for (const Wire::SuspectPart &suspect : reply.serving().suspects()) {
+            Wire::ListedSuspectPart &listed = *response.add_parts();
+            listed.set_part(partText(suspect.part()));
+            listed.set_crash_count(suspect.crash_count());
+            listed.set_incidents(suspect.crashes().empty() ? 0 : suspect.crashes().rbegin()->incident());
+            *listed.mutable_crashes() = suspect.crashes();
+            listed.set_trials(suspect.trials());
+            listed.set_trial_wait_ms(suspect.trial_wait_ms());
+        }
+    });
+}
+
+void proposeClearance(const Backend &backend, const OperatorRequest &call, const Wire::SuspectPart &suspect, const OperatorReplyCallback &callback)
+{
+    Wire::Command command;
+    Wire::PartClearance &clearance = *command.mutable_update_suspects()->add_cleared();
+    clearance.set_part(suspect.part());
+    clearance.set_crashes(suspect.crash_count());
+    clearance.set_evidence("operator " + call.identity.name);
+    backend->propose(std::move(command), [callback, encoding = call.encoding](const ProposeOutcome &outcome) {
+        if (outcome.status != Wire::PROPOSE_STATUS_APPLIED) {
+            callback(connectError(makeError(Wire::ERROR_CODE_UNAVAILABLE, "", "no majority of the replicas confirmed the change", "send it again")));
+            return;
+        }
+        Wire::ClearSuspectPartResponse response;
+        response.set_cleared(outcome.result.done());
+        callback(writeMessage(encoding, response));
+    });
+}
+
+void clearSuspectPart(const Backend &backend, const OperatorRequest &call, const Wire::ClearSuspectPartRequest &request, const OperatorReplyCallback &callback)
+{
+    if (request.part().empty()) {
+        callback(connectError(makeError(Wire::ERROR_CODE_INVALID, "part", "is missing", "ListSuspectParts shows the parts")));
+        return;
+    }
+    backend->query(servingQuery(), [backend, call, part = request.part(), callback](const Wire::QueryReply &reply) {
+        if (reply.has_error()) {
+            callback(connectError(reply.error()));
+            return;
+        }
+        const auto &suspects = reply.serving().suspects();
+        const auto found = std::find_if(suspects.begin(), suspects.end(), [&part](const Wire::SuspectPart &suspect) {
+            return partText(suspect.part()) == part;
+        });
+        if (found == suspects.end()) {
+            callback(connectError(makeError(Wire::ERROR_CODE_NOT_FOUND, "part", "names no suspect part", "ListSuspectParts shows them")));
+            return;
+        }
+        proposeClearance(backend, call, *found, callback);
+    });
+}
+
 void getLedger(const Backend &backend, const OperatorRequest &call, const Wire::GetLedgerRequest &request, const OperatorReplyCallback &callback)
 {
     const Wire::Query query = ledgerQuery(request.organisation(), request.day());
@@ -258,6 +325,7 @@
         method<Wire::GetRevisionRequest>("GetRevision", ReadOnly, getRevision),
         method<Wire::GetStatusRequest>("GetStatus", ReadOnly, getStatus),
         method<Wire::ListEndpointsRequest>("ListEndpoints", ReadOnly, listEndpoints),
+        method<Wire::ListSuspectPartsRequest>("ListSuspectParts", ReadOnly, listSuspectParts),
         method<Wire::GetLedgerRequest>("GetLedger", ReadOnly, getLedger),
         method<Wire::GetReportRequest>("GetReport", ReadOnly, getReport),
         method<Wire::GetMetricsRequest>("GetMetrics", ReadOnly, getMetrics),
@@ -280,6 +348,7 @@
         change<Wire::FinishRolloutRequest>("FinishRollout"),
         change<Wire::DrainEndpointRequest>("DrainEndpoint"),
         change<Wire::UndrainEndpointRequest>("UndrainEndpoint"),
+        method<Wire::ClearSuspectPartRequest>("ClearSuspectPart", FullRole, clearSuspectPart),
         method<Wire::ReplaceReplicaRequest>("ReplaceReplica", FullRole, replaceReplica),
     };
     return Methods;
--- a/Apricothead/src/State/ServingTable.cpp
+++ b/Apricothead/src/State/ServingTable.cpp
@@ -82,11 +82,11 @@
 
 Wire::CommandResult ServingTable::updateSuspects(const Wire::UpdateSuspects &update, std::uint64_t index, std::int64_t timeMs)
 {
-    if (SuspectTable(*this->state.mutable_suspects()).apply(update, timeMs)) {
+    Wire::CommandResult result;
+    result.set_done(SuspectTable(*this->state.mutable_suspects()).apply(update, timeMs));
+    if (result.done()) {
         this->state.set_number(index);
     }
-    Wire::CommandResult result;
-    result.set_done(true);
     return result;
 }
 
--- a/Apricothead/src/State/ServingTable.h
+++ b/Apricothead/src/State/ServingTable.h
@@ -33,7 +33,7 @@
      */
     Wire::CommandResult setRollout(const Wire::SetServiceRollout &change, std::uint64_t index);
 
-    /** Records evidence for and against suspect parts. \sa SuspectTable */
+    /** Records evidence for and against suspect parts. \returns whether it changed anything. \sa SuspectTable */
     Wire::CommandResult updateSuspects(const Wire::UpdateSuspects &update, std::uint64_t index, std::int64_t timeMs);
 
     /** Grants the trial of a withheld part if it is due. \returns whether it was granted */
--- a/test/operator.cpp
+++ b/test/operator.cpp
@@ -136,6 +136,8 @@
         } else if (query.has_ledger()) {
             const auto days = this->machine.ledger(query.ledger().organisation(), query.ledger().day());
             reply.mutable_ledger()->Assign(days.begin(), days.end());
+        } else if (query.serving()) {
+            *reply.mutable_serving() = this->machine.serving();
         } else {
             *reply.mutable_configuration() = this->staleRead.value_or(this->machine.configuration());
         }
@@ -502,3 +504,22 @@
     BOOST_TEST(then.ParseFromString(before));
     BOOST_TEST(now.configuration().SerializeAsString() == then.configuration().SerializeAsString(), "seed " << Seed);
 }
+
+BOOST_FIXTURE_TEST_CASE(operatorSeesAndClearsASuspectPart, Fixture)
+{
+    Wire::Command command;
+    Wire::EndpointCrash &crash = *command.mutable_update_suspects()->add_crashes();
+    crash.set_endpoint("e-1");
+    crash.add_requests()->set_fingerprint(7);
+    crash.mutable_requests(0)->add_parts(0xc230f41444e0);
+    command.set_time_ms(2000);
+    this->group.machine.apply(command, ++this->group.index);
+    const Json listed = parsed(this->call("ListSuspectParts", "{}", ReadToken)).at("parts").at(0);
+    BOOST_TEST(listed.at("part") == "c230f41444e0");
+    BOOST_TEST(listed.at("crashCount") == 1);
+    BOOST_TEST(listed.at("crashes").at(0).at("endpoint") == "e-1");
+    BOOST_TEST(this->call("ClearSuspectPart", R"({"part":"c230f41444e0"})", ReadToken).status == 403U);
+    BOOST_TEST(this->call("ClearSuspectPart", R"({"part":"ffff"})").status == 404U);
+    BOOST_TEST(parsed(this->call("ClearSuspectPart", R"({"part":"c230f41444e0"})")).at("cleared") == true);
+    BOOST_TEST(this->group.machine.serving().suspects().empty());
+}
