The product's own path does not send a request to a third endpoint after two were lost with it

Change: RetryQuery counts the runs that were lost with their endpoint; two end the request with the reason endpoints-lost. Refusals do not count. Test: ejection, requestThatWasLostWithTwoEndpointsIsNotSentToAThird; without the count the query was answered 'retry'.

--- a/Apricothead/src/Coordination/Entry/StepRun.cpp
+++ b/Apricothead/src/Coordination/Entry/StepRun.cpp
@@ -486,6 +486,7 @@
                                                                   .repeatable = this->record.repeatable(),
                                                                   .answerStarted = this->options.hasStarted(),
                                                                   .attemptsMade = this->attempts,
+                                                                  .lostRuns = this->lostRuns,
                                                                   .deadlineLeftMs = remainingMs,
                                                                   .expectedMs = this->routingDecision.predictedMs},
                                                                  static_cast<double>(now));
@@ -575,6 +576,7 @@
         this->failAndFinish(answerGoneError(this->record));
         return;
     }
+    ++this->lostRuns;
     this->verdictSoFar = combined(this->verdictSoFar, Verdict::MayHaveRun);
     const CallerError error = lostRunError(this->verdictSoFar);
     if (this->isEnded || this->isCallerGone) {
--- a/Apricothead/src/Coordination/Entry/StepRun.h
+++ b/Apricothead/src/Coordination/Entry/StepRun.h
@@ -144,6 +144,8 @@
     Verdict verdictSoFar = Verdict::NotRun;
     unsigned nextAttempt = 1;
     unsigned attempts = 0;
+    /** Attempts whose endpoint was lost while they ran. */
+    unsigned lostRuns = 0;
     unsigned refusedAdmissions = 0;
     unsigned settleAttempts = 0;
     std::uint64_t deadlineMs = 0;
--- a/Apricothead/src/Decisions/RetryBudget.cpp
+++ b/Apricothead/src/Decisions/RetryBudget.cpp
@@ -36,6 +36,9 @@
     if (query.attemptsMade >= this->options.maxAttempts) {
         return {.reason = "attempts-used"};
     }
+    if (query.lostRuns >= this->options.maxLostRuns) {
+        return {.reason = "endpoints-lost"};
+    }
     const double delayMs = this->options.initialBackoffMs * std::pow(2.0, query.attemptsMade - 1.0);
     if (delayMs + query.expectedMs >= query.deadlineLeftMs) {
         return {.reason = "deadline-too-near"};
--- a/Apricothead/src/Decisions/RetryBudget.h
+++ b/Apricothead/src/Decisions/RetryBudget.h
@@ -20,6 +20,8 @@
     double notRunCost = 0.2;
     /** Attempts of a request, including the first. */
     unsigned maxAttempts = 3;
+    /** Runs that may be lost with their endpoint before the request itself is held to be the cause. */
+    unsigned maxLostRuns = 2;
     /** Delay before the first retry; doubled for each further one. */
     double initialBackoffMs = 50;
 };
@@ -35,6 +37,8 @@
     /** True once a byte of the answer has been sent to the caller. */
     bool answerStarted = false;
     unsigned attemptsMade = 1;
+    /** Attempts whose endpoint was lost while they ran. */
+    unsigned lostRuns = 0;
     double deadlineLeftMs = 0;
     /** Predicted duration of another attempt. */
     double expectedMs = 0;
@@ -48,7 +52,7 @@
  */
 struct RetryDecision {
     bool retry = false;
-    /** \c retry, \c may-have-run, \c answer-started, \c attempts-used, \c deadline-too-near or \c retry-budget-empty. */
+    /** \c retry, \c may-have-run, \c answer-started, \c attempts-used, \c endpoints-lost, \c deadline-too-near or \c retry-budget-empty. */
     std::string reason;
     double delayMs = 0;
 
--- a/test/ejection.cpp
+++ b/test/ejection.cpp
@@ -229,3 +229,17 @@
     }
     BOOST_TEST(index.size() == 100U);
 }
+
+BOOST_AUTO_TEST_CASE(requestThatWasLostWithTwoEndpointsIsNotSentToAThird)
+{
+    RetryBudget budget({.maxAttempts = 5});
+    RetryQuery query{.repeatable = true, .deadlineLeftMs = 10000};
+    query.lostRuns = 1;
+    BOOST_TEST(budget.decide(query, 1000).retry);
+    query.attemptsMade = 2;
+    query.lostRuns = 2;
+    BOOST_TEST(budget.decide(query, 2000).reason == "endpoints-lost");
+    // Not so after refusals, which do no harm.
+    query.lostRuns = 0;
+    BOOST_TEST(budget.decide(query, 3000).retry);
+}
