--- a/Apricothead/src/Decisions/PartQuarantine.cpp
+++ b/Apricothead/src/Decisions/PartQuarantine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <tuple>
 #include <utility>
 
 namespace Apricothead {
@@ -18,6 +19,11 @@
 
 } // namespace
 
+bool EndpointIncarnation::operator<(const EndpointIncarnation &other) const
+{
+    return std::tie(this->endpoint, this->bornMs) < std::tie(other.endpoint, other.bornMs);
+}
+
 PartQuarantine::PartQuarantine(PartQuarantineOptions given) : options(given)
 { }
 
@@ -170,9 +176,10 @@
         }
     }
     this->withheld.clear();
-    for (const auto &[crashes, parts] : partsByCrashes) {
-        const bool isExplained = std::any_of(partsByCrashes.begin(), partsByCrashes.end(), [&crashes](const auto &other) {
-            return isProperSubset(crashes, other.first);
+    for (const auto &entry : partsByCrashes) {
+        const std::set<std::uint64_t> &parts = entry.second;
+        const bool isExplained = std::any_of(partsByCrashes.begin(), partsByCrashes.end(), [&entry](const auto &other) {
+            return isProperSubset(entry.first, other.first);
         });
         const bool isAtFault = std::any_of(parts.begin(), parts.end(), [this](std::uint64_t part) {
             return this->evidence().at(part).requests.size() >= this->options.minRequests;
--- a/Apricothead/src/Decisions/PartQuarantine.h
+++ b/Apricothead/src/Decisions/PartQuarantine.h
@@ -22,7 +22,8 @@
     /** Start of the incarnation, ms since 1970 by the endpoint's own clock. */
     std::int64_t bornMs = 0;
 
-    auto operator<=>(const EndpointIncarnation &) const = default;
+    bool operator==(const EndpointIncarnation &) const = default;
+    bool operator<(const EndpointIncarnation &other) const;
 };
 
 /** \class SuspectRequest
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -74,6 +74,7 @@
 std::string promptPartsText(const std::vector<PromptPart> &prompt)
 {
     std::vector<std::uint64_t> parts;
+    parts.reserve(prompt.size());
     for (const PromptPart &part : prompt) {
         parts.push_back(part.id);
     }
--- a/test/partquarantine.cpp
+++ b/test/partquarantine.cpp
@@ -321,6 +321,7 @@
             if (isDeadly || draw(100) == 0) {
                 crashes += isDeadly ? 1 : 0;
                 std::vector<SuspectRequest> awaiting;
+                awaiting.reserve(running.size());
                 for (const SuspectRequest &lost : running) {
                     awaiting.push_back({.fingerprint = lost.fingerprint, .parts = system.gateway.unclearedParts(lost, system.now())});
                 }
