--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -1,5 +1,7 @@
 #include "ForwardRun.h"
 
+#include "RequestParts.h"
+
 #include "../Transport/Log.h"
 
 #include <xxhash.h>
@@ -52,35 +54,6 @@
     return number;
 }
 
-/** \returns what identifies \a request as a possible cause of a crash */
-SuspectRequest suspectRequest(const ForwardRequest &request)
-{
-    SuspectRequest suspect;
-    if (request.prompt.size() < 2) {
-        const std::string whole = request.method + ' ' + request.target + '\n' + request.body;
-        suspect.parts.push_back(XXH3_64bits(whole.data(), whole.size()));
-        // Repeats of such a request count one by one: nothing but themselves can be at fault.
-        suspect.fingerprint = XXH3_64bits(request.id.data(), request.id.size());
-        return suspect;
-    }
-    suspect.fingerprint = request.prompt.back().id;
-    for (auto part = request.prompt.begin(); part + 1 != request.prompt.end(); ++part) {
-        suspect.parts.push_back(part->id);
-    }
-    return suspect;
-}
-
-/** \returns the ids of the parts of \a prompt as they are shown to operators */
-std::string promptPartsText(const std::vector<PromptPart> &prompt)
-{
-    std::vector<std::uint64_t> parts;
-    parts.reserve(prompt.size());
-    for (const PromptPart &part : prompt) {
-        parts.push_back(part.id);
-    }
-    return partsText(parts);
-}
-
 } // namespace
 
 ForwardRun::ForwardRun(GatewayContext &givenContext,
@@ -608,7 +581,7 @@
              {"tookMs", this->now() - current.startedMs},
              {"answeredForMs", this->sinceAnswerMs()},
              {"error", current.transportError},
-             {"parts", promptPartsText(this->request.prompt)}});
+             {"parts", promptText(this->request.prompt)}});
     this->context.metrics.count("attempts_ended_total", reason);
     // An endpoint that could not be reached has received nothing, so the retry takes nothing from the budget.
     const bool shouldRetry = this->canRetry(last) && (outcome == AttemptOutcome::Unreachable || this->context.retries.tryAcquire(this->service, this->now()));
