The shutdown test waits until the endpoint process has handled the signal

KNOWN-RED: serviceEndpointFinishesItsOrders, seen once at load 16: the order sent right after SIGTERM ran (201, ran) where not-run is asked. The process promises to refuse from the moment on at which it closes its gate, which it logs. Change: the case waits for that line, at most 1 s, and then asks for the same as before.

--- a/test/shutdown.cpp
+++ b/test/shutdown.cpp
@@ -4,6 +4,8 @@
 #include "support/Load.h"
 
 #include <csignal>
+#include <fstream>
+#include <iterator>
 
 using namespace Apricothead;
 using namespace Apricothead::Test;
@@ -13,6 +15,14 @@
 constexpr unsigned Tokens = 20;
 constexpr unsigned Threads = 6;
 constexpr std::chrono::milliseconds ExitBound{20000};
+constexpr std::chrono::milliseconds HandlingBound{1000};
+
+bool hasLogged(const Process &process, const std::string &event)
+{
+    std::ifstream log(process.log());
+    const std::string text{std::istreambuf_iterator<char>(log), std::istreambuf_iterator<char>()};
+    return text.find("\"event\":\"" + event + "\"") != std::string::npos;
+}
 
 struct Fixture {
     Fixture() : cluster({.engineArguments = {"--token_delay_ms=10"}})
@@ -83,6 +93,12 @@
         return this->cluster.orders("slow") == 1;
     }));
     this->cluster.process("yard").signal(SIGTERM);
+    // Until the process has handled the signal, an order is accepted and finished like the first one.
+    BOOST_TEST(waitUntil(
+        [&] {
+            return hasLogged(this->cluster.process("yard"), "endpoint-leaving");
+        },
+        HandlingBound));
     const HttpAnswer lateAnswer = this->cluster.order(1, "late");
     caller.join();
     BOOST_TEST(answer.status == 201);
