Withheld requests are counted by route, which bounds the metric

The label was the part, which callers choose: over months each one would have kept a line in the gateway's memory. Found in review; the log has the part of each request. crashingendpoints passes; no decision is changed.

--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -200,7 +200,7 @@
              {"parts", partsText(withheld.parts)},
              {"crashes", static_cast<std::uint64_t>(withheld.crashes)},
              {"trialMs", withheld.trialMs ? static_cast<std::int64_t>(*withheld.trialMs) : -1}});
-    this->context.metrics.count("requests_withheld_total", partsText(withheld.parts));
+    this->context.metrics.count("requests_withheld_total", this->route.name());
     if (this->isStreamStarted || this->verdict != Verdict::NotRun) {
         this->failRequest("part-withheld");
         return;
