A client of the replicas follows the members and lets former ones go

Change: links are kept by address. A leader's own list releases who is no member; a list from anyone else only adds, as a replica that was removed or cut off lists an earlier membership.

Test: replicaclient membersAreFollowedThroughManyReplacements (40 replacements, real links) failed before: replacement 11 was not followed. listOfARemovedReplicaReleasesNobody guards the new rule and passed before as well.

--- a/Apricothead/src/Coordination/Shared/ReplicaClient.cpp
+++ b/Apricothead/src/Coordination/Shared/ReplicaClient.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <set>
 #include <utility>
 
 namespace Apricothead {
@@ -17,8 +19,8 @@
 constexpr std::chrono::milliseconds CallCheckInterval{50};
 /** A call without an answer for this long is sent again, to another replica. */
 constexpr std::uint64_t ResendAfterMs = 400;
-/** Upper limit of the replica list: twice the largest group, since replaced replicas stay on the list. */
-constexpr std::size_t MaxReplicas = 14;
+/** Upper limit on members that are followed in addition to the seeds: twice the largest group. */
+constexpr std::size_t MaxFollowed = 14;
 
 /** A proposal, query or membership change that is not answered yet. */
 struct PendingCall {
@@ -27,11 +29,20 @@
     std::uint64_t resendAtMs = 0;
     /** Sends for which no reply has reported that the command was not appended. */
     unsigned unresolved = 0;
-    std::size_t lastSeed = 0;
+    /** Address of the replica that the call was last sent to. */
+    std::string lastReplica;
     /** Called once, with the reply or with null at the deadline. */
     std::function<void(const Wire::Envelope *)> done;
 };
 
+/** The connection to one replica, and what the replica has reported. */
+struct Link {
+    std::unique_ptr<Dealer> dealer;
+    std::uint64_t directoryNumber = 0;
+    /** Nothing until the replica has sent a list of endpoints. */
+    std::optional<std::vector<Wire::EndpointStatus>> directory;
+};
+
 bool isNotAppended(const Wire::Envelope &reply)
 {
     return reply.has_propose_reply() && reply.propose_reply().status() == Wire::PROPOSE_STATUS_NOT_APPENDED;
@@ -97,51 +108,91 @@
 
     void connect()
     {
-        for (std::size_t seed = 0; seed < this->options.seeds.size(); ++seed) {
+        for (const std::string &seed : this->options.seeds) {
             this->connectTo(seed);
         }
         this->heartbeatTimer.startRepeating(this->options.heartbeat);
         this->sendHeartbeats();
     }
 
-    void connectTo(std::size_t seed)
+    void connectTo(const std::string &address)
+    {
+        Link &link = this->links[address];
+        link.dealer = std::make_unique<Dealer>(this->loop,
+                                               DealerOptions{
+                                                   .address = address,
+                                                   .heartbeat = this->options.linkHeartbeat,
+                                                   .silence = this->options.linkSilence,
+                                                   .onMessage =
+                                                       [this, address](std::string_view bytes) {
+                                                           this->receive(address, bytes);
+                                                       },
+                                                   .onConnected =
+                                                       [this, address] {
+                                                           this->handleReplicaConnected(address);
+                                                       },
+                                                   .onSilent =
+                                                       [this, address] {
+                                                           this->handleReplicaSilent(address);
+                                                       },
+                                               });
+    }
+
+    void handleReplicaConnected(const std::string &address)
     {
-        this->dealers.push_back(std::make_unique<Dealer>(this->loop,
-                                                         DealerOptions{
-                                                             .address = this->options.seeds[seed],
-                                                             .heartbeat = this->options.linkHeartbeat,
-                                                             .silence = this->options.linkSilence,
-                                                             .onMessage =
-                                                                 [this, seed](std::string_view bytes) {
-                                                                     this->receive(seed, bytes);
-                                                                 },
-                                                             .onConnected =
-                                                                 [this, seed] {
-                                                                     this->directoryNumbers[seed] = 0;
-                                                                     if (this->options.onReplicaConnected) {
-                                                                         this->options.onReplicaConnected(this->options.seeds[seed]);
-                                                                     }
-                                                                     this->sendHeartbeat(seed);
-                                                                 },
-                                                             .onSilent =
-                                                                 [this, seed] {
-                                                                     this->handleReplicaSilent(seed);
-                                                                 },
-                                                         }));
+        this->links.at(address).directoryNumber = 0;
+        if (this->options.onReplicaConnected) {
+            this->options.onReplicaConnected(address);
+        }
+        this->sendHeartbeat(address);
     }
 
-    /** Connects to members that are not on the list of replicas yet. */
-    void followMembers(const Wire::ClusterUpdate &update)
+    bool isSeed(const std::string &address) const
     {
+        return std::find(this->options.seeds.begin(), this->options.seeds.end(), address) != this->options.seeds.end();
+    }
+
+    /** Connects to the members that \a update lists, and lets former members go. Only the leader's list is proof that a replica is no member: a
+     * replica that was removed or cut off lists an earlier membership. */
+    void followMembers(const std::string &replica, const Wire::ClusterUpdate &update)
+    {
+        if (update.members_size() == 0) {
+            return;
+        }
+        std::set<std::string> listed;
         for (const Wire::Member &member : update.members()) {
-            const auto &known = this->options.seeds;
-            if (std::find(known.begin(), known.end(), member.address()) == known.end() && known.size() < MaxReplicas) {
-                this->options.seeds.push_back(member.address());
-                this->connectTo(this->options.seeds.size() - 1);
+            listed.insert(member.address());
+        }
+        const std::size_t limit = this->options.seeds.size() + MaxFollowed;
+        const bool isLeader = update.leader_address() == replica;
+        if (isLeader || this->links.size() + listed.size() > limit) {
+            this->releaseReplicas([&](const std::string &address, const Link &link) {
+                return !listed.contains(address) && address != replica && (isLeader || !link.dealer->isConnected());
+            });
+        }
+        for (const std::string &address : listed) {
+            if (!this->links.contains(address) && this->links.size() < limit) {
+                logLine(LogLevel::Info, "replica-followed", {{"replica", address}, {"from", replica}});
+                this->connectTo(address);
             }
         }
     }
 
+    /** Closes the connections to all replicas but the seeds for which \a isReleased returns true. */
+    void releaseReplicas(const std::function<bool(const std::string &address, const Link &link)> &isReleased)
+    {
+        for (auto position = this->links.begin(); position != this->links.end();) {
+            const std::string address = position->first;
+            if (this->isSeed(address) || !isReleased(address, position->second)) {
+                ++position;
+                continue;
+            }
+            logLine(LogLevel::Info, "replica-released", {{"replica", address}});
+            this->handleReplicaSilent(address);
+            position = this->links.erase(position);
+        }
+    }
+
     Wire::Envelope envelope() const
     {
         Wire::Envelope message;
@@ -151,77 +202,80 @@
         return message;
     }
 
-    void sendHeartbeat(std::size_t seed)
+    void sendHeartbeat(const std::string &address)
     {
+        Link &link = this->links.at(address);
         Wire::Envelope message = this->envelope();
         if (this->options.makeHeartbeat) {
             *message.mutable_heartbeat() = this->options.makeHeartbeat();
         }
         message.mutable_heartbeat()->set_process(this->options.process);
         message.mutable_heartbeat()->set_revision(this->configuration.revision());
-        message.mutable_heartbeat()->set_directory_number(this->directoryNumbers[seed]);
+        message.mutable_heartbeat()->set_directory_number(link.directoryNumber);
         if (this->options.completeHeartbeat) {
-            this->options.completeHeartbeat(this->options.seeds[seed], *message.mutable_heartbeat());
+            this->options.completeHeartbeat(address, *message.mutable_heartbeat());
         }
-        this->dealers[seed]->send(message.SerializeAsString());
+        link.dealer->send(message.SerializeAsString());
     }
 
     void sendHeartbeats()
     {
-        for (std::size_t seed = 0; seed < this->dealers.size(); ++seed) {
-            this->sendHeartbeat(seed);
+        for (const auto &[address, link] : this->links) {
+            this->sendHeartbeat(address);
         }
     }
 
     void sendDueHeartbeats()
     {
-        for (std::size_t seed = 0; seed < this->dealers.size(); ++seed) {
-            const bool isDue = !this->options.isHeartbeatDue || !this->dealers[seed]->isConnected() || this->options.isHeartbeatDue(this->options.seeds[seed]);
+        for (const auto &[address, link] : this->links) {
+            const bool isDue = !this->options.isHeartbeatDue || !link.dealer->isConnected() || this->options.isHeartbeatDue(address);
             if (isDue) {
-                this->sendHeartbeat(seed);
+                this->sendHeartbeat(address);
             }
         }
     }
 
     /** Calls last sent to the silent replica are sent to another one at the next check. */
-    void handleReplicaSilent(std::size_t seed)
+    void handleReplicaSilent(const std::string &address)
     {
-        if (this->leader == this->options.seeds[seed]) {
+        if (this->leader == address) {
             this->leader.clear();
         }
         if (this->options.onReplicaSilent) {
-            this->options.onReplicaSilent(this->options.seeds[seed]);
+            this->options.onReplicaSilent(address);
         }
         for (auto &[id, call] : this->calls) {
-            if (call.lastSeed == seed) {
+            if (call.lastReplica == address) {
                 call.resendAtMs = 0;
             }
         }
     }
 
-    std::size_t selectSeed()
+    /** \returns the leader's address, or else that of the next connected replica */
+    std::string selectReplica()
     {
-        const auto known = std::find(this->options.seeds.begin(), this->options.seeds.end(), this->leader);
-        if (known != this->options.seeds.end()) {
-            return static_cast<std::size_t>(known - this->options.seeds.begin());
-        }
-        for (std::size_t step = 0; step < this->dealers.size(); ++step) {
-            this->nextSeed = (this->nextSeed + 1) % this->dealers.size();
-            if (this->dealers[this->nextSeed]->isConnected()) {
-                return this->nextSeed;
+        if (this->links.contains(this->leader)) {
+            return this->leader;
+        }
+        for (std::size_t step = 0; step < this->links.size(); ++step) {
+            auto next = this->links.upper_bound(this->lastSelected);
+            next = next == this->links.end() ? this->links.begin() : next;
+            this->lastSelected = next->first;
+            if (next->second.dealer->isConnected()) {
+                break;
             }
         }
-        return this->nextSeed;
+        return this->lastSelected;
     }
 
     void sendCall(PendingCall &call)
     {
-        if (this->dealers.empty()) {
+        if (this->links.empty()) {
             return;
         }
-        call.lastSeed = this->selectSeed();
+        call.lastReplica = this->selectReplica();
         call.resendAtMs = this->loop.nowMs() + ResendAfterMs;
-        if (this->dealers[call.lastSeed]->send(call.message.SerializeAsString())) {
+        if (this->links.at(call.lastReplica).dealer->send(call.message.SerializeAsString())) {
             ++call.unresolved;
         }
     }
@@ -264,12 +318,12 @@
     /** A leader that did not answer a call may be partitioned from its group; another replica is tried. */
     void avoidSilentLeader(const PendingCall &call)
     {
-        if (this->leader == this->options.seeds[call.lastSeed] && call.resendAtMs != 0) {
+        if (this->leader == call.lastReplica && call.resendAtMs != 0) {
             this->leader.clear();
         }
     }
 
-    void receive(std::size_t seed, std::string_view bytes)
+    void receive(const std::string &replica, std::string_view bytes)
     {
         Wire::Envelope message;
         if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || message.group() != this->options.group) {
@@ -277,13 +331,13 @@
             return;
         }
         if (message.has_update()) {
-            this->handleUpdate(seed, message.update());
+            this->handleUpdate(replica, message.update());
             return;
         }
         this->handleReply(message);
     }
 
-    void handleUpdate(std::size_t seed, const Wire::ClusterUpdate &update)
+    void handleUpdate(const std::string &replica, const Wire::ClusterUpdate &update)
     {
         if (!update.leader_address().empty()) {
             this->leader = update.leader_address();
@@ -297,36 +351,34 @@
             this->sendHeartbeats();
         }
         if (update.directory_changed()) {
-            this->directories[seed].assign(update.endpoints().begin(), update.endpoints().end());
-            this->directoryNumbers[seed] = update.directory_number();
+            Link &link = this->links.at(replica);
+            link.directory.emplace(update.endpoints().begin(), update.endpoints().end());
+            link.directoryNumber = update.directory_number();
         }
         if (update.digests_size() > 0 && this->options.onDigests) {
             this->options.onDigests({update.digests().begin(), update.digests().end()});
         }
-        this->selectDirectory(seed);
+        this->selectDirectory(replica);
         if (this->options.followMembers) {
-            this->followMembers(update);
+            this->followMembers(replica, update);
         }
         if (this->options.onUpdate) {
-            this->options.onUpdate(this->options.seeds[seed], update);
+            this->options.onUpdate(replica, update);
         }
     }
 
     /** Each replica lists the endpoints whose heartbeats it receives itself. The leader's list takes precedence, since that of a partitioned replica
      * is incomplete. */
-    void selectDirectory(std::size_t updatedSeed)
+    void selectDirectory(const std::string &updated)
     {
-        std::size_t source = updatedSeed;
-        for (std::size_t seed = 0; seed < this->options.seeds.size(); ++seed) {
-            if (this->options.seeds[seed] == this->leader && this->directories.contains(seed)) {
-                source = seed;
-            }
-        }
+        const auto leading = this->links.find(this->leader);
+        const bool hasLeaderListed = leading != this->links.end() && leading->second.directory;
+        const Link &source = hasLeaderListed ? leading->second : this->links.at(updated);
         // No conclusion about endpoints from a replica that has not sent a list yet.
-        if (!this->directories.contains(source)) {
+        if (!source.directory) {
             return;
         }
-        const std::vector<Wire::EndpointStatus> &listed = this->directories[source];
+        const std::vector<Wire::EndpointStatus> &listed = *source.directory;
         if (hasSameEndpoints(listed, this->endpoints)) {
             return;
         }
@@ -361,12 +413,12 @@
     ReplicaClientOptions options;
     Timer heartbeatTimer;
     Timer callTimer;
-    std::vector<std::unique_ptr<Dealer>> dealers;
-    std::map<std::size_t, std::uint64_t> directoryNumbers;
-    std::map<std::size_t, std::vector<Wire::EndpointStatus>> directories;
+    /** By address: the seeds, and the members that are followed. */
+    std::map<std::string, Link> links;
     std::map<std::uint64_t, PendingCall> calls;
     std::uint64_t nextCall = 1;
-    std::size_t nextSeed = 0;
+    /** The replica that was selected last while no leader was known. */
+    std::string lastSelected;
     unsigned unresolvedAtTimeout = 0;
     std::string leader;
     Wire::Configuration configuration;
@@ -437,10 +489,8 @@
 
 void ReplicaClient::heartbeatNow(const std::string &replica)
 {
-    const std::vector<std::string> &seeds = this->d->options.seeds;
-    const auto found = std::find(seeds.begin(), seeds.end(), replica);
-    if (found != seeds.end()) {
-        this->d->sendHeartbeat(static_cast<std::size_t>(found - seeds.begin()));
+    if (this->d->links.contains(replica)) {
+        this->d->sendHeartbeat(replica);
     }
 }
 
@@ -461,12 +511,9 @@
 
 bool ReplicaClient::isConnected() const
 {
-    for (const auto &dealer : this->d->dealers) {
-        if (dealer->isConnected()) {
-            return true;
-        }
-    }
-    return false;
+    return std::any_of(this->d->links.begin(), this->d->links.end(), [](const auto &entry) {
+        return entry.second.dealer->isConnected();
+    });
 }
 
 } // namespace Apricothead
--- a/test/replicaclient.cpp
+++ b/test/replicaclient.cpp
@@ -6,6 +6,10 @@
 #include <Apricothead/Coordination>
 #include <Apricothead/Transport>
 
+#include <memory>
+#include <string>
+#include <vector>
+
 using namespace Apricothead;
 using Test::runUntil;
 
@@ -88,3 +92,70 @@
     }));
     BOOST_TEST(this->client.endpoints().size() == 2);
 }
+
+BOOST_AUTO_TEST_CASE(membersAreFollowedThroughManyReplacements)
+{
+    constexpr unsigned GroupSize = 3;
+    constexpr unsigned Replacements = 40;
+    EventLoop loop;
+    std::vector<std::unique_ptr<ScriptedReplica>> group;
+    std::vector<std::string> seeds;
+    const auto publishMembers = [&group] {
+        for (const auto &replica : group) {
+            replica->update.clear_members();
+            replica->update.set_leader_address(group.front()->router.boundAddress());
+            for (const auto &member : group) {
+                replica->update.add_members()->set_address(member->router.boundAddress());
+            }
+        }
+    };
+    for (unsigned number = 0; number < GroupSize; ++number) {
+        group.push_back(std::make_unique<ScriptedReplica>(loop));
+        seeds.push_back(group.back()->router.boundAddress());
+    }
+    publishMembers();
+    ReplicaClient client(loop,
+                         {.process = "gateway-1",
+                          .seeds = seeds,
+                          .linkHeartbeat = std::chrono::milliseconds(20),
+                          .linkSilence = std::chrono::milliseconds(300),
+                          .heartbeat = std::chrono::milliseconds(20),
+                          .followMembers = true});
+    for (unsigned number = 0; number < Replacements; ++number) {
+        group.push_back(std::make_unique<ScriptedReplica>(loop));
+        group.erase(group.begin());
+        publishMembers();
+        BOOST_REQUIRE_MESSAGE(runUntil(loop,
+                                       [&group] {
+                                           return group.back()->heartbeats > 0;
+                                       }),
+                              "replacement " << number << " was not followed");
+    }
+    BOOST_TEST(client.isConnected());
+}
+
+BOOST_AUTO_TEST_CASE(listOfARemovedReplicaReleasesNobody)
+{
+    EventLoop loop;
+    ScriptedReplica removed(loop);
+    ScriptedReplica leading(loop);
+    ScriptedReplica joined(loop);
+    leading.update.set_leader_address(leading.router.boundAddress());
+    leading.update.add_members()->set_address(leading.router.boundAddress());
+    leading.update.add_members()->set_address(joined.router.boundAddress());
+    removed.update.set_leader_address(leading.router.boundAddress());
+    removed.update.add_members()->set_address(removed.router.boundAddress());
+    const ReplicaClient client(loop,
+                               {.process = "gateway-1",
+                                .seeds = {removed.router.boundAddress(), leading.router.boundAddress()},
+                                .heartbeat = std::chrono::milliseconds(20),
+                                .followMembers = true});
+    BOOST_REQUIRE(runUntil(loop, [&joined] {
+        return joined.heartbeats > 0;
+    }));
+    const unsigned before = joined.heartbeats;
+    const unsigned ofRemoved = removed.heartbeats;
+    BOOST_TEST(runUntil(loop, [&] {
+        return joined.heartbeats > before + 3 && removed.heartbeats > ofRemoved + 3;
+    }));
+}
