A refusal that an endpoint did not prove is not passed on as a promise

Cause (review, left out): an endpoint's 503 without a statement that the request has not run was passed on as it is; to the caller 408, 429 and 503 promise that it has not run and will not.

Change: such an answer ends with 502, without the endpoint's signature and Retry-After.

Test: forwardrun unprovenRefusalOfAnEndpointIsNotPassedOnAsAPromise failed before (408, 429, 503 instead of 502) and passes.

--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -17,6 +17,8 @@
 
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusRedirect = 300;
+constexpr unsigned StatusRequestTimeout = 408;
+constexpr unsigned StatusTooManyRequests = 429;
 constexpr unsigned StatusServerError = 500;
 constexpr unsigned StatusBadGateway = 502;
 constexpr unsigned StatusUnavailable = 503;
@@ -54,6 +56,12 @@
     return number;
 }
 
+/** \returns whether \a status promises to callers that the request has not run and will not run */
+bool isRefusal(unsigned status)
+{
+    return status == StatusRequestTimeout || status == StatusTooManyRequests || status == StatusUnavailable;
+}
+
 } // namespace
 
 ForwardRun::ForwardRun(GatewayContext &givenContext,
@@ -524,6 +532,12 @@
 
 void ForwardRun::forwardResponse(const EndpointResponseHead &head, std::string body)
 {
+    if (isRefusal(head.status)) {
+        // The endpoint did not state that the request has not run, so no answer may promise it.
+        this->verdict = combined(this->verdict, Verdict::MayHaveRun);
+        this->failRequest("refusal-unproven");
+        return;
+    }
     if (this->isStreamStarted) {
         this->reply->abort();
     } else {
--- a/test/forwardrun.cpp
+++ b/test/forwardrun.cpp
@@ -140,6 +140,24 @@
     BOOST_TEST(reply->body == "oops");
 }
 
+BOOST_AUTO_TEST_CASE(unprovenRefusalOfAnEndpointIsNotPassedOnAsAPromise)
+{
+    // To the caller each of these statuses means that the request has not run; the endpoint ran it and does not state otherwise.
+    for (const std::string status : {"408", "429", "503"}) {
+        ScriptedEndpoint endpoint([&status](ScriptedConnection &connection, const std::string &head) {
+            connection.send("HTTP/1.1 " + status + " Later\r\nid: " + headerOf(head, "id")
+                            + "\r\nsigned: yes\r\nretry-after: 1\r\ncontent-length: 4\r\n\r\nlate");
+        });
+        GatewayFixture gateway(Wire::REPEAT_RULE_ONCE, 1);
+        gateway.announce("one", endpoint.address());
+        const auto reply = gateway.request("r1");
+        BOOST_TEST(reply->status == 502U);
+        BOOST_TEST(!reply->headers.contains("signed"));
+        BOOST_TEST(!reply->headers.contains("Retry-After"));
+        BOOST_TEST(endpoint.requests().size() == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(mismatchedOrUnsignedResponsesAreNotForwarded)
 {
     const std::vector<std::string> invalidResponses{
