Availability zones are evacuated, and cold endpoints get requests in turns

Cause: nothing knew an evacuation.

Change: the order is a log entry and part of the serving state, which reaches all gateways like a plan; DirectEndpoints keeps endpoints of the zone out of groups, rings and holders. ColdRate divides time into turns of one gateway each, by the place that the leader confirms with each lease; two divisions at a time, that of gateways in touch and that of those cut off, stay within the bound.

--- a/Apricothead/src/Coordination/Operator/OperatorMethods.cpp
+++ b/Apricothead/src/Coordination/Operator/OperatorMethods.cpp
@@ -271,6 +271,37 @@
     });
 }
 
+void listEvacuations(const Backend &backend,
+                     const OperatorRequest &call,
+                     const Wire::ListEvacuationsRequest & /*request*/,
+                     const OperatorReplyCallback &callback)
+{
+    runQuery<Wire::ListEvacuationsResponse>(backend, call, servingQuery(), callback, [](const Wire::QueryReply &reply, auto &response) {
+        *response.mutable_evacuations() = reply.serving().evacuations();
+    });
+}
+
+void setEvacuation(const Backend &backend, const OperatorRequest &call, const Wire::SetEvacuationRequest &request, const OperatorReplyCallback &callback)
+{
+    Wire::Command command;
+    command.set_actor(call.identity.name);
+    command.mutable_set_evacuation()->set_availability_zone(request.availability_zone());
+    command.mutable_set_evacuation()->set_end(request.end());
+    backend->propose(std::move(command), [callback, encoding = call.encoding](const ProposeOutcome &outcome) {
+        if (outcome.status != Wire::PROPOSE_STATUS_APPLIED) {
+            callback(connectError(makeError(Wire::ERROR_CODE_UNAVAILABLE, "", "no majority of the replicas confirmed the order", "send it again")));
+            return;
+        }
+        if (outcome.result.has_error()) {
+            callback(connectError(outcome.result.error()));
+            return;
+        }
+        Wire::SetEvacuationResponse response;
+        response.set_order(outcome.result.index());
+        callback(writeMessage(encoding, response));
+    });
+}
+
 void getLedger(const Backend &backend, const OperatorRequest &call, const Wire::GetLedgerRequest &request, const OperatorReplyCallback &callback)
 {
     const Wire::Query query = ledgerQuery(request.organisation(), request.day());
@@ -326,6 +357,7 @@
         method<Wire::GetStatusRequest>("GetStatus", ReadOnly, getStatus),
         method<Wire::ListEndpointsRequest>("ListEndpoints", ReadOnly, listEndpoints),
         method<Wire::ListSuspectPartsRequest>("ListSuspectParts", ReadOnly, listSuspectParts),
+        method<Wire::ListEvacuationsRequest>("ListEvacuations", ReadOnly, listEvacuations),
         method<Wire::GetLedgerRequest>("GetLedger", ReadOnly, getLedger),
         method<Wire::GetReportRequest>("GetReport", ReadOnly, getReport),
         method<Wire::GetMetricsRequest>("GetMetrics", ReadOnly, getMetrics),
@@ -349,6 +381,7 @@
         change<Wire::DrainEndpointRequest>("DrainEndpoint"),
         change<Wire::UndrainEndpointRequest>("UndrainEndpoint"),
         method<Wire::ClearSuspectPartRequest>("ClearSuspectPart", FullRole, clearSuspectPart),
+        method<Wire::SetEvacuationRequest>("SetEvacuation", FullRole, setEvacuation),
         method<Wire::ReplaceReplicaRequest>("ReplaceReplica", FullRole, replaceReplica),
     };
     return Methods;
--- a/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
+++ b/Apricothead/src/Coordination/Replica/ReplicaTask.cpp
@@ -1252,6 +1252,17 @@
     }
 }
 
+bool ReplicaTask::hasEndpointIn(const std::string &availabilityZone) const
+{
+    if (!this->d->publisher) {
+        return false;
+    }
+    const std::vector<Wire::EndpointAnnouncement> endpoints = this->d->publisher->endpoints();
+    return std::any_of(endpoints.begin(), endpoints.end(), [&availabilityZone](const Wire::EndpointAnnouncement &endpoint) {
+        return endpoint.availability_zone() == availabilityZone;
+    });
+}
+
 bool ReplicaTask::isGroupComplete() const
 {
     if (!this->d->raft) {
--- a/Apricothead/src/Coordination/Replica/ReplicaTask.h
+++ b/Apricothead/src/Coordination/Replica/ReplicaTask.h
@@ -69,6 +69,9 @@
     /** Handles an endpoint's sign-off received by this instance. */
     void handleEndpointLeft(const std::string &endpoint);
 
+    /** \returns whether an endpoint in this availability zone is known here */
+    bool hasEndpointIn(const std::string &availabilityZone) const;
+
     /** \returns true when the group has at least as many voters as there are seeds */
     bool isGroupComplete() const;
 
--- a/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
+++ b/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
@@ -89,6 +89,7 @@
     }
     *update.mutable_serving()->mutable_rollouts() = state.rollouts();
     *update.mutable_serving()->mutable_suspects() = state.suspects();
+    *update.mutable_serving()->mutable_evacuations() = state.evacuations();
     update.mutable_serving()->set_number(state.number());
     if (gateway.planRevision < state.plan().revision()) {
         *update.mutable_serving()->mutable_plan() = state.plan();
@@ -264,6 +265,7 @@
         return true;
     }
     const std::string common = this->commonConfirmation();
+    const std::map<std::string, std::uint32_t> ranks = this->gatewayRanks(this->lastMaintenanceMs);
     std::map<std::uint64_t, std::string> promptsSince;
     for (const auto &[peer, round] : leaseRounds) {
         const auto gateway = this->gateways.find(peer);
@@ -273,6 +275,8 @@
         Wire::ClusterUpdate update;
         this->fillServing(gateway->second, update);
         update.set_lease_round(round);
+        const auto rank = ranks.find(gateway->second.process);
+        update.set_gateway_rank(rank == ranks.end() ? 0 : rank->second);
         update.set_load_round(this->hasCurrentLoads(gateway->second) ? gateway->second.loadRound : 0);
         const auto [prompts, isFirst] = promptsSince.try_emplace(gateway->second.promptRound);
         if (isFirst) {
@@ -328,6 +332,21 @@
     return counts;
 }
 
+std::map<std::string, std::uint32_t> ServingPublisher::gatewayRanks(std::uint64_t nowMs) const
+{
+    std::map<std::string, std::uint32_t> ranks;
+    for (const auto &[peer, gateway] : this->gateways) {
+        if (nowMs - gateway.lastHeartbeatMs <= GatewaySilenceMs) {
+            ranks[gateway.process] = 0;
+        }
+    }
+    std::uint32_t next = 0;
+    for (auto &[process, rank] : ranks) {
+        rank = next++;
+    }
+    return ranks;
+}
+
 std::uint32_t ServingPublisher::gatewayCount(std::uint64_t nowMs) const
 {
     std::uint32_t count = 0;
--- a/Apricothead/src/Coordination/Replica/ServingPublisher.h
+++ b/Apricothead/src/Coordination/Replica/ServingPublisher.h
@@ -98,6 +98,8 @@
         std::vector<std::uint64_t> heldSessions;
     };
     void handleEvidence(const Wire::Heartbeat &heartbeat);
+    /** \returns the places of the gateways that are not silent, by process */
+    std::map<std::string, std::uint32_t> gatewayRanks(std::uint64_t nowMs) const;
     bool hasCurrentLoads(const Gateway &gateway) const;
     /** \returns the part of a lease confirmation that is the same for all gateways, serialised */
     std::string commonConfirmation() const;
--- a/Apricothead/src/Coordination/Shared/AnnouncementRegistry.cpp
+++ b/Apricothead/src/Coordination/Shared/AnnouncementRegistry.cpp
@@ -20,7 +20,8 @@
 bool hasSameContent(const Wire::EndpointAnnouncement &left, const Wire::EndpointAnnouncement &right)
 {
     return left.service() == right.service() && left.address() == right.address() && left.availability_zone() == right.availability_zone()
-        && left.version() == right.version() && left.slots() == right.slots() && left.state() == right.state() && left.born_ms() == right.born_ms();
+        && left.version() == right.version() && left.slots() == right.slots() && left.state() == right.state() && left.born_ms() == right.born_ms()
+        && (left.cold_ms() > 0) == (right.cold_ms() > 0);
 }
 
 std::uint64_t announcementHash(const Wire::EndpointAnnouncement &announcement)
@@ -28,7 +29,9 @@
     if (announcement.state() != Wire::ANNOUNCED_STATE_READY) {
         return 0;
     }
-    std::uint64_t hash = XXH3_64bits_withSeed(nullptr, 0, static_cast<std::uint64_t>(announcement.born_ms()) ^ announcement.slots());
+    constexpr std::uint64_t ColdMark = std::uint64_t{1} << 63U;
+    const std::uint64_t mark = announcement.cold_ms() > 0 ? ColdMark : 0;
+    std::uint64_t hash = XXH3_64bits_withSeed(nullptr, 0, static_cast<std::uint64_t>(announcement.born_ms()) ^ announcement.slots() ^ mark);
     for (const std::string *text :
          {&announcement.endpoint(), &announcement.service(), &announcement.address(), &announcement.availability_zone(), &announcement.version()}) {
         hash = XXH3_64bits_withSeed(text->data(), text->size(), hash);
--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t MaxSampleSize = 24;
 /** Limit on the candidates that are added because they have a prefix of the prompt cached. */
 constexpr std::size_t MaxHolders = 8;
+/** An endpoint that claims to stay cold for longer is bounded no longer than this. */
+constexpr std::uint64_t MaxColdMs = 600'000;
 
 std::uint64_t hashBytes(std::uint64_t seed, const void *data, std::size_t size)
 {
@@ -80,7 +82,7 @@
 DirectEndpoints::DirectEndpoints() : DirectEndpoints(DirectEndpointsOptions{})
 { }
 
-DirectEndpoints::DirectEndpoints(DirectEndpointsOptions given) : options(std::move(given))
+DirectEndpoints::DirectEndpoints(DirectEndpointsOptions given) : options(std::move(given)), coldRate(this->options.coldRate)
 { }
 
 std::vector<Wire::EndpointLoad> DirectEndpoints::takeOwnLoads()
@@ -155,6 +157,7 @@
 {
     const auto found = this->known.find(endpoint);
     found->second.cache.clear();
+    this->coldRate.forget(endpoint);
     this->known.erase(found);
 }
 
@@ -166,7 +169,7 @@
     std::map<std::string, std::vector<std::string>> names;
     for (const auto &[name, endpoint] : this->known) {
         const Wire::EndpointAnnouncement &announcement = endpoint.announcement;
-        if (!DirectEndpoints::isReady(endpoint) || announcement.service() != service) {
+        if (!this->isEligible(endpoint) || announcement.service() != service) {
             continue;
         }
         versions[announcement.version()].members.push_back(&endpoint);
@@ -211,6 +214,65 @@
     }
 }
 
+void DirectEndpoints::setEvacuatedZones(std::set<std::string> zones)
+{
+    if (zones == this->evacuatedZones) {
+        return;
+    }
+    this->evacuatedZones = std::move(zones);
+    for (const auto &[name, endpoint] : this->known) {
+        this->changedServices.insert(endpoint.announcement.service());
+    }
+}
+
+std::map<std::string, std::size_t> DirectEndpoints::evacuatedCounts() const
+{
+    std::map<std::string, std::size_t> counts;
+    for (const std::string &zone : this->evacuatedZones) {
+        counts[zone] = static_cast<std::size_t>(std::count_if(this->known.begin(), this->known.end(), [&zone](const auto &entry) {
+            return entry.second.announcement.availability_zone() == zone && DirectEndpoints::isReady(entry.second);
+        }));
+    }
+    return counts;
+}
+
+void DirectEndpoints::setColdRates(std::map<std::string, double> perSecond)
+{
+    this->coldRates = std::move(perSecond);
+}
+
+void DirectEndpoints::setGatewayPlace(std::uint32_t rank, std::uint32_t count, std::uint64_t offsetMs)
+{
+    this->coldRate.setPlace(rank, count);
+    this->clockOffsetMs = offsetMs;
+}
+
+void DirectEndpoints::recordCold(const std::string &name, std::uint64_t coldMs, std::uint64_t nowMs)
+{
+    const auto found = this->known.find(name);
+    if (found != this->known.end()) {
+        found->second.coldUntilMs = std::max(found->second.coldUntilMs, nowMs + std::min(coldMs, MaxColdMs));
+    }
+}
+
+void DirectEndpoints::recordSent(const std::string &name, std::uint64_t nowMs)
+{
+    const auto found = this->known.find(name);
+    const double coldPerSecond = found == this->known.end() ? 0 : this->coldRateOf(found->second, nowMs);
+    if (coldPerSecond > 0) {
+        this->coldRate.recordSent(name, coldPerSecond, nowMs + this->clockOffsetMs);
+    }
+}
+
+double DirectEndpoints::coldRateOf(const KnownEndpoint &endpoint, std::uint64_t nowMs) const
+{
+    if (endpoint.coldUntilMs <= nowMs) {
+        return 0;
+    }
+    const auto rate = this->coldRates.find(endpoint.announcement.service());
+    return rate == this->coldRates.end() ? 0 : rate->second;
+}
+
 std::uint64_t DirectEndpoints::rebuilds() const
 {
     return this->rebuildCount;
@@ -222,6 +284,10 @@
     if (isEjected || endpoint.pausedUntilMs > nowMs) {
         return false;
     }
+    const double coldPerSecond = this->coldRateOf(endpoint, nowMs);
+    if (coldPerSecond > 0 && !this->coldRate.canSend(endpoint.announcement.endpoint(), coldPerSecond, nowMs + this->clockOffsetMs)) {
+        return false;
+    }
     return std::find(query.avoid.begin(), query.avoid.end(), endpoint.announcement.endpoint()) == query.avoid.end();
 }
 
@@ -310,7 +376,7 @@
         }
         for (const KnownEndpoint *endpoint : held->second) {
             const Wire::EndpointAnnouncement &announcement = endpoint->announcement;
-            const bool isOfService = DirectEndpoints::isReady(*endpoint) && announcement.service() == query.service;
+            const bool isOfService = this->isEligible(*endpoint) && announcement.service() == query.service;
             if (added == MaxHolders || !isOfService || query.versions.matches(announcement.version()) != preferredVersions || !canTake(*endpoint)) {
                 continue;
             }
@@ -427,7 +493,7 @@
     std::size_t ready = 0;
     std::size_t ejected = 0;
     for (const auto &[name, endpoint] : this->known) {
-        if (endpoint.announcement.service() != service || !DirectEndpoints::isReady(endpoint)) {
+        if (endpoint.announcement.service() != service || !this->isEligible(endpoint)) {
             continue;
         }
         ++ready;
@@ -467,7 +533,7 @@
 {
     std::optional<std::uint64_t> leastMs;
     for (const auto &[name, endpoint] : this->known) {
-        if (endpoint.announcement.service() == service && DirectEndpoints::isReady(endpoint)) {
+        if (endpoint.announcement.service() == service && this->isEligible(endpoint)) {
             const std::uint64_t leftMs = endpoint.pausedUntilMs - std::min(endpoint.pausedUntilMs, nowMs);
             leastMs = std::min(leastMs.value_or(leftMs), leftMs);
         }
@@ -535,10 +601,15 @@
     return endpoint.announcement.state() == Wire::ANNOUNCED_STATE_READY && !endpoint.isLeaving;
 }
 
+bool DirectEndpoints::isEligible(const KnownEndpoint &endpoint) const
+{
+    return DirectEndpoints::isReady(endpoint) && !this->evacuatedZones.contains(endpoint.announcement.availability_zone());
+}
+
 std::size_t DirectEndpoints::readyCount(const std::string &service) const
 {
-    return static_cast<std::size_t>(std::count_if(this->known.begin(), this->known.end(), [&service](const auto &entry) {
-        return entry.second.announcement.service() == service && DirectEndpoints::isReady(entry.second);
+    return static_cast<std::size_t>(std::count_if(this->known.begin(), this->known.end(), [this, &service](const auto &entry) {
+        return entry.second.announcement.service() == service && this->isEligible(entry.second);
     }));
 }
 
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ColdRate.h"
 #include "EndpointRing.h"
 #include "LoadTotals.h"
 #include "PrefixCacheEstimate.h"
@@ -111,6 +112,7 @@
     /** Prompt tokens that an engine is assumed to keep in its cache. Lower than the memory of any engine in use, as running requests occupy a
      * part of it. */
     std::uint64_t cacheCapacityTokens = 350'000;
+    ColdRateOptions coldRate = {};
 };
 
 /** \class DirectEndpoints
@@ -152,6 +154,21 @@
     void applyAnnouncement(const Wire::EndpointAnnouncement &announcement);
     void applyAnnouncements(const std::vector<Wire::EndpointAnnouncement> &announcements);
 
+    /** Sets the availability zones whose endpoints get nothing: neither as candidates nor as homes, last resorts or holders of a prompt. */
+    void setEvacuatedZones(std::set<std::string> zones);
+    /** \returns the number of ready endpoints that are left out, by evacuated availability zone */
+    std::map<std::string, std::size_t> evacuatedCounts() const;
+
+    /** Sets the requests a second that a cold endpoint bears, by service; a service that is not listed bears any. */
+    void setColdRates(std::map<std::string, double> perSecond);
+    /** Sets this gateway's place among those that share the turns at cold endpoints. \a clockOffsetMs is what the clock that all gateways share is
+     * ahead of that of \c nowMs. \sa ColdRate */
+    void setGatewayPlace(std::uint32_t rank, std::uint32_t count, std::uint64_t clockOffsetMs);
+    /** Records that an endpoint stays cold for \a coldMs. */
+    void recordCold(const std::string &endpoint, std::uint64_t coldMs, std::uint64_t nowMs);
+    /** Records that a request was sent, which uses up a turn if the endpoint is cold. */
+    void recordSent(const std::string &endpoint, std::uint64_t nowMs);
+
     /** \returns how often the endpoints of a service were grouped anew: at most once for each choice, however many announcements preceded it */
     std::uint64_t rebuilds() const;
 
@@ -206,6 +223,7 @@
         std::uint64_t ejectedUntilMs = 0;
         /** Unlike an ejection, a pause that the endpoint asked for holds even when no other endpoint is left. */
         std::uint64_t pausedUntilMs = 0;
+        std::uint64_t coldUntilMs = 0;
         bool isLeaving = false;
         /** Prompts sent since the last report, the oldest first. */
         std::vector<SentPrefix> unreportedPrefixes;
@@ -240,6 +258,10 @@
         std::vector<const KnownEndpoint *> candidates;
     };
     static bool isReady(const KnownEndpoint &endpoint);
+    /** \returns whether \a endpoint is ready and its availability zone is not evacuated */
+    bool isEligible(const KnownEndpoint &endpoint) const;
+    /** \returns the rate that \a endpoint bears while it is cold; 0 when it is warm or bears any */
+    double coldRateOf(const KnownEndpoint &endpoint, std::uint64_t nowMs) const;
     KnownEndpoint &findOrAdd(const std::string &endpoint);
     void removeEndpoint(const std::string &endpoint);
     void rebuildGroups(const std::string &service) const;
@@ -269,6 +291,10 @@
     std::unordered_map<std::uint64_t, std::vector<const KnownEndpoint *>> holders;
     mutable std::minstd_rand random;
     std::uint32_t gatewayCount = 1;
+    std::set<std::string> evacuatedZones;
+    ColdRate coldRate;
+    std::map<std::string, double> coldRates;
+    std::uint64_t clockOffsetMs = 0;
     /** Declared after \c holders, which the caches of the endpoints refer to. */
     std::map<std::string, KnownEndpoint> known;
 };
--- a/Apricothead/src/Gateway/ForwardRequest.h
+++ b/Apricothead/src/Gateway/ForwardRequest.h
@@ -78,6 +78,8 @@
     bool isLeaving = false;
     /** Time for which the endpoint wants no requests from this gateway, in ms; nothing when it states none. */
     std::optional<std::uint64_t> retryAfterMs;
+    /** Time for which the endpoint stays cold, in ms; 0 when it is warm or does not say. */
+    std::uint64_t coldMs = 0;
     /** The model's confidence in its answer, 0 to 100; nothing when it reports none. */
     std::optional<int> confidence;
     /** End-to-end header fields for the caller, without hop-by-hop fields. */
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -278,6 +278,7 @@
     this->attempt->startedMs = this->now();
     this->attempt->lastReceivedMs = this->attempt->startedMs;
     this->context.endpoints.recordStart(query, choice);
+    this->context.endpoints.recordSent(choice.endpoint, this->now());
     this->context.versionSplit.recordStart(this->service, this->request.session, choice.version, this->now());
     this->context.versionCounts.recordStart(this->versionRoute(choice), this->attempt->startedMs);
     logLine(LogLevel::Info,
@@ -327,6 +328,7 @@
         logLine(LogLevel::Info, "endpoint-leaving", {{"endpoint", endpoint}, {"request", this->request.id}});
         this->context.endpoints.recordLeaving(endpoint);
     }
+    this->context.endpoints.recordCold(endpoint, head.coldMs, this->now());
     if (head.status == StatusUnavailable && head.retryAfterMs) {
         logLine(LogLevel::Info, "endpoint-paused", {{"endpoint", endpoint}, {"request", this->request.id}, {"pauseMs", *head.retryAfterMs}});
         this->context.metrics.count("endpoint_pauses_total", this->service);
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -8,9 +8,11 @@
 #include "../Decisions/OutagePolicy.h"
 #include "../Transport/Log.h"
 #include "../Transport/Timer.h"
+#include "../Transport/WallClock.h"
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -57,7 +59,10 @@
               .settings = *settings.gateway,
               .dialect = std::move(given.dialect),
               .client = HttpClient(loop),
-              .endpoints = DirectEndpoints({.availabilityZone = settings.availabilityZone}),
+              .endpoints = DirectEndpoints({
+                  .availabilityZone = settings.availabilityZone,
+                  .coldRate = {.ratio = settings.gateway->coldRatio, .slack = settings.gateway->coldSlack},
+              }),
               .versionSplit = VersionSplit(static_cast<std::uint64_t>(settings.gateway->session.count())),
               .retries = RetryWindow({
                   .ratio = settings.gateway->retryRatio,
@@ -93,6 +98,8 @@
     void listen();
     void startServingView();
     void applyServingState(const Wire::ServingState &state);
+    void applyZones(const Wire::ServingState &state);
+    void updateGatewayPlace();
     /** Withdraws requests that may be withheld by now from their endpoints. */
     void withdrawWithheld();
     void applyAnnouncements(const std::vector<Wire::EndpointAnnouncement> &changed);
@@ -122,6 +129,7 @@
     std::uint64_t stoppingSinceMs = 0;
     /** Withheld parts that were last told in the log. */
     std::size_t withheldParts = 0;
+    std::set<std::string> evacuatedZones;
     std::function<void()> stopped;
 };
 
@@ -175,6 +183,7 @@
                                                                },
                                                            .onConfirmed =
                                                                [this](std::uint64_t round) {
+                                                                   this->updateGatewayPlace();
                                                                    this->context.quarantine.recordContact(this->context.loop.nowMs());
                                                                    this->context.crashes.confirmReports(round);
                                                                },
@@ -190,9 +199,43 @@
     const std::uint64_t nowMs = this->context.loop.nowMs();
     this->context.versionSplit.setState(state, nowMs);
     this->context.quarantine.setSuspects(state.suspects(), nowMs);
+    this->applyZones(state);
     this->withdrawWithheld();
 }
 
+void GatewayTask::Private::updateGatewayPlace()
+{
+    constexpr std::uint64_t MicrosPerMs = 1000;
+    this->context.endpoints.setGatewayPlace(
+        this->context.view->gatewayRank(), this->context.view->gateways(), wallClockMicros() / MicrosPerMs - this->context.loop.nowMs());
+}
+
+void GatewayTask::Private::applyZones(const Wire::ServingState &state)
+{
+    std::set<std::string> zones;
+    for (const Wire::Evacuation &evacuation : state.evacuations()) {
+        zones.insert(evacuation.availability_zone());
+    }
+    const bool isChanged = zones != this->evacuatedZones;
+    this->evacuatedZones = zones;
+    this->context.endpoints.setEvacuatedZones(std::move(zones));
+    for (const auto &[zone, endpoints] : this->context.endpoints.evacuatedCounts()) {
+        if (isChanged) {
+            logLine(LogLevel::Warning, "zone-evacuated", {{"zone", zone}, {"endpoints", static_cast<std::uint64_t>(endpoints)}});
+        }
+    }
+    if (isChanged && this->evacuatedZones.empty()) {
+        logLine(LogLevel::Info, "zones-in-use", {{"number", state.number()}});
+    }
+    std::map<std::string, double> coldRates;
+    for (const Wire::PlanService &service : state.plan().services()) {
+        if (service.cold_per_second() > 0) {
+            coldRates[service.name()] = service.cold_per_second();
+        }
+    }
+    this->context.endpoints.setColdRates(std::move(coldRates));
+}
+
 void GatewayTask::Private::withdrawWithheld()
 {
     const std::size_t count = this->context.quarantine.withheldCount();
@@ -210,11 +253,13 @@
 {
     this->context.endpoints.applyAnnouncements(changed);
     for (const Wire::EndpointAnnouncement &announcement : changed) {
+        this->context.endpoints.recordCold(announcement.endpoint(), announcement.cold_ms(), this->context.loop.nowMs());
         logLine(LogLevel::Info,
                 "endpoint-seen",
                 {{"endpoint", announcement.endpoint()},
                  {"service", announcement.service()},
                  {"version", announcement.version()},
+                 {"coldMs", announcement.cold_ms()},
                  {"state", Wire::AnnouncedState_Name(announcement.state())}});
     }
 }
@@ -270,6 +315,9 @@
     gauge("parts_suspect", {}, static_cast<double>(this->context.quarantine.suspectCount()));
     gauge("parts_withheld", {}, static_cast<double>(this->context.quarantine.withheldCount()));
     gauge("log_lines_dropped_total", {}, static_cast<double>(droppedLogLines()));
+    for (const auto &[zone, endpoints] : this->context.endpoints.evacuatedCounts()) {
+        gauge("endpoints_evacuated", zone, static_cast<double>(endpoints));
+    }
     for (int index = 0; plan && index < plan->plan().services_size(); ++index) {
         const std::string &service = plan->plan().services(index).name();
         gauge("endpoints_ready", service, static_cast<double>(this->context.endpoints.readyCount(service)));
--- a/Apricothead/src/Gateway/ServingView.cpp
+++ b/Apricothead/src/Gateway/ServingView.cpp
@@ -210,6 +210,7 @@
 void ServingView::confirmLease(const Wire::ClusterUpdate &update)
 {
     this->gatewayCount = update.gateways();
+    this->rank = update.gateway_rank();
     this->options.onConfirmed(update.lease_round());
     this->ownReports.forgetBefore(update.load_round());
     this->options.onLoads(this->ownReports.otherLoads(update.load_round(), update.loads()));
@@ -247,4 +248,9 @@
     return this->gatewayCount;
 }
 
+std::uint32_t ServingView::gatewayRank() const
+{
+    return this->rank;
+}
+
 } // namespace Apricothead
--- a/Apricothead/src/Gateway/ServingView.h
+++ b/Apricothead/src/Gateway/ServingView.h
@@ -83,6 +83,9 @@
     /** \returns the number of gateways connected to the leader, this one included; 0 when it is not known */
     std::uint32_t gateways() const;
 
+    /** \returns this gateway's place among them, from 0 */
+    std::uint32_t gatewayRank() const;
+
 private:
     void handleUpdate(const std::string &replica, const Wire::ClusterUpdate &update);
     void applyServingState(const Wire::ServingState &serving);
@@ -114,6 +117,7 @@
     /** When the newest confirmed heartbeat was sent; nothing before the first confirmation. */
     std::optional<std::uint64_t> confirmedMs;
     std::uint32_t gatewayCount = 0;
+    std::uint32_t rank = 0;
 };
 
 /** \returns ms of a monotonic clock that continues while the instance is suspended */
--- a/Apricothead/src/Protocol/Settings.h
+++ b/Apricothead/src/Protocol/Settings.h
@@ -148,6 +148,9 @@
     double retryRatio = 0.9;
     std::chrono::milliseconds retryWindow{10000};
     double retrySlack = 56;
+    /** Requests to a cold endpoint in one second, over all gateways, for each that it bears; and how many more. */
+    double coldRatio = 1.5;
+    double coldSlack = 5;
     /** The process is ended this long after it was asked to stop. */
     std::chrono::milliseconds grace{8000};
 
@@ -160,6 +163,8 @@
  */
 struct ControlSettings {
     std::string address;
+    /** The availability zones that there are; empty when they are known from endpoints alone. */
+    std::vector<std::string> zones;
 
     bool operator==(const ControlSettings &) const = default;
 };
--- a/Apricothead/src/Protocol/SettingsReader.cpp
+++ b/Apricothead/src/Protocol/SettingsReader.cpp
@@ -187,6 +187,8 @@
     readValue(object, "retryRatio", gateway.retryRatio);
     readSeconds(object, "retryWindowSeconds", gateway.retryWindow);
     readValue(object, "retrySlack", gateway.retrySlack);
+    readValue(object, "coldRatio", gateway.coldRatio);
+    readValue(object, "coldSlack", gateway.coldSlack);
     readSeconds(object, "graceSeconds", gateway.grace);
     return gateway;
 }
@@ -227,6 +229,7 @@
     }
     if (document.contains("control")) {
         settings.control = ControlSettings{.address = document.at("control").at("address")};
+        readValue(document.at("control"), "zones", settings.control->zones);
     }
     if (document.contains("seedPort")) {
         settings.seeds = withPort(settings.seeds, document.at("seedPort").get<unsigned>());
--- a/Apricothead/src/State/ServingTable.cpp
+++ b/Apricothead/src/State/ServingTable.cpp
@@ -8,6 +8,10 @@
 namespace Apricothead {
 namespace {
 
+/** Bound on the replicated state, which every gateway receives with each change of it. */
+constexpr int MaxEvacuations = 256;
+constexpr std::size_t MaxZoneBytes = 128;
+
 Wire::CommandResult revisionResult(std::uint64_t revision)
 {
     Wire::CommandResult result;
@@ -100,6 +104,32 @@
     return result;
 }
 
+Wire::CommandResult ServingTable::setEvacuation(const Wire::SetEvacuation &order, std::uint64_t index)
+{
+    const std::string &zone = order.availability_zone();
+    auto &evacuations = *this->state.mutable_evacuations();
+    const auto found = std::find_if(evacuations.begin(), evacuations.end(), [&zone](const Wire::Evacuation &evacuation) {
+        return evacuation.availability_zone() == zone;
+    });
+    const bool isEvacuated = found != evacuations.end();
+    if (order.end() != isEvacuated) {
+        return revisionResult(this->state.plan().revision());
+    }
+    if (order.end()) {
+        evacuations.erase(found);
+    } else if (zone.empty() || zone.size() > MaxZoneBytes) {
+        return refusalResult(makeError(Wire::ERROR_CODE_INVALID, "availabilityZone", "is empty or longer than 128 bytes", "name a zone"));
+    } else if (evacuations.size() >= MaxEvacuations) {
+        return refusalResult(makeError(Wire::ERROR_CODE_INVALID, "availabilityZone", "is one more than 256", "end an evacuation first"));
+    } else {
+        Wire::Evacuation &evacuation = *evacuations.Add();
+        evacuation.set_availability_zone(zone);
+        evacuation.set_order(index);
+    }
+    this->state.set_number(index);
+    return revisionResult(this->state.plan().revision());
+}
+
 void ServingTable::restore(const Wire::ServingState &restored)
 {
     this->state = restored;
--- a/Apricothead/src/State/ServingTable.h
+++ b/Apricothead/src/State/ServingTable.h
@@ -39,6 +39,13 @@
     /** Grants the trial of a withheld part if it is due. \returns whether it was granted */
     Wire::CommandResult startPartTrial(const Wire::StartPartTrial &trial, std::uint64_t index, std::int64_t timeMs);
 
+    /**
+     * Orders the evacuation of an availability zone or withdraws it. An order for a zone that is evacuated already, and a withdrawal for one that is
+     * not, change nothing. Whether a zone exists is judged where the order arrives: a zone without endpoints is none the less evacuated.
+     * \returns the revision of the plan, or ERROR_CODE_INVALID for an empty or overlong name or more than 256 zones
+     */
+    Wire::CommandResult setEvacuation(const Wire::SetEvacuation &order, std::uint64_t index);
+
     void restore(const Wire::ServingState &state);
 
 private:
--- a/Apricothead/src/State/StateMachine.cpp
+++ b/Apricothead/src/State/StateMachine.cpp
@@ -142,6 +142,8 @@
         return this->serving.updateSuspects(command.update_suspects(), this->appliedIndex, this->timeMs);
     case Wire::Command::kStartPartTrial:
         return this->serving.startPartTrial(command.start_part_trial(), this->appliedIndex, this->timeMs);
+    case Wire::Command::kSetEvacuation:
+        return this->serving.setEvacuation(command.set_evacuation(), this->appliedIndex);
     case Wire::Command::BODY_NOT_SET:
         break;
     }
--- a/app/Commands.h
+++ b/app/Commands.h
@@ -24,6 +24,8 @@
     std::string commandId;
     /** The replica identity that recover is to go on with. */
     std::string confirmation;
+    /** Withdraws the order of evacuate. */
+    bool end = false;
     /** The words after the command. */
     std::vector<std::string> words;
 };
@@ -33,6 +35,7 @@
 int init(const CommandLine &line);
 int recover(const CommandLine &line);
 int call(const CommandLine &line);
+int evacuate(const CommandLine &line);
 int report(const CommandLine &line);
 int explain(const CommandLine &line);
 int version(const CommandLine &line);
--- a/app/OperatorCommands.cpp
+++ b/app/OperatorCommands.cpp
@@ -56,6 +56,27 @@
     return ExitSuccess;
 }
 
+int evacuate(const CommandLine &line)
+{
+    if (!line.words.empty()) {
+        const nlohmann::json order{{"availabilityZone", line.words.front()}, {"end", line.end}};
+        const OperatorCallResult result
+            = runCall({.address = line.address, .token = line.token, .method = "SetEvacuation", .json = order.dump(), .commandId = line.commandId});
+        if (!result.succeeded) {
+            return failed(result);
+        }
+    }
+    const OperatorCallResult result = runCall({.address = line.address, .token = line.token, .method = "ListEvacuations"});
+    if (!result.succeeded) {
+        return failed(result);
+    }
+    const nlohmann::json answer = nlohmann::json::parse(result.text, nullptr, false);
+    for (const nlohmann::json &evacuation : answer.value("evacuations", nlohmann::json::array())) {
+        std::cout << evacuation.value("availabilityZone", std::string()) << " since log entry " << evacuation.value("order", std::string()) << '\n';
+    }
+    return ExitSuccess;
+}
+
 int report(const CommandLine &line)
 {
     const OperatorCallResult result = runCall({.address = line.address, .token = line.token, .method = "GetReport"});
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -12,6 +12,7 @@
 ABSL_FLAG(std::string, address, "127.0.0.1:8081", "operators' address of an entry instance, IP and port");
 ABSL_FLAG(std::string, token, "", "operator token; APRICOTHEAD_TOKEN in the environment is used when the flag is absent");
 ABSL_FLAG(std::string, command_id, "", "command id of a change; the same id given again returns the first answer");
+ABSL_FLAG(bool, end, false, "for evacuate: withdraw the order");
 ABSL_FLAG(std::string, confirm_replica, "", "for recover: the identity of the replica that goes on alone");
 
 namespace Apricothead {
@@ -49,6 +50,12 @@
             "apricothead call METHOD ['{JSON}'] [--address=IP:PORT] [--token=TOKEN] [--command_id=ID]\n\n"
             "Methods are those of proto/apricothead/v1/operator.proto. Prints the JSON answer. Resends safely under one command id.\n",
             call},
+    Command{"evacuate",
+            "send nothing more to the endpoints of a zone",
+            "apricothead evacuate [ZONE] [--end] [--address=IP:PORT] [--token=TOKEN]\n\n"
+            "Orders the evacuation of an availability zone, or withdraws it (--end), and then, as without ZONE, lists the zones evacuated.\n"
+            "Requests that run there are finished.\n",
+            evacuate},
     Command{"report", "print the report", "apricothead report [--address=IP:PORT] [--token=TOKEN]\n\nUnder 25 lines of 60 columns, plain text.\n", report},
     Command{"explain",
             "tell the way of one request from logs",
@@ -97,6 +104,7 @@
         .token = absl::GetFlag(FLAGS_token),
         .commandId = absl::GetFlag(FLAGS_command_id),
         .confirmation = absl::GetFlag(FLAGS_confirm_replica),
+        .end = absl::GetFlag(FLAGS_end),
     };
     for (std::size_t index = 2; index < positional.size(); ++index) {
         line.words.emplace_back(positional[index]);
--- a/test/operator.cpp
+++ b/test/operator.cpp
@@ -523,3 +523,16 @@
     BOOST_TEST(parsed(this->call("ClearSuspectPart", R"({"part":"c230f41444e0"})")).at("cleared") == true);
     BOOST_TEST(this->group.machine.serving().suspects().empty());
 }
+
+BOOST_FIXTURE_TEST_CASE(operatorEvacuatesAZoneAndTakesItBack, Fixture)
+{
+    BOOST_TEST(this->call("SetEvacuation", R"({"availabilityZone":"a"})", ReadToken).status == 403U);
+    BOOST_TEST(this->call("SetEvacuation", "{}").status == 400U);
+    BOOST_TEST(this->call("SetEvacuation", R"({"availabilityZone":"a"})").status == 200U);
+    BOOST_TEST(this->call("SetEvacuation", R"({"availabilityZone":"a"})").status == 200U);
+    const Json listed = parsed(this->call("ListEvacuations", "{}", ReadToken)).at("evacuations");
+    BOOST_REQUIRE(listed.size() == 1U);
+    BOOST_TEST(listed.at(0).at("availabilityZone") == "a");
+    BOOST_TEST(this->call("SetEvacuation", R"({"availabilityZone":"a","end":true})").status == 200U);
+    BOOST_TEST(this->group.machine.serving().evacuations().empty());
+}
--- a/test/platform.cpp
+++ b/test/platform.cpp
@@ -240,6 +240,21 @@
     BOOST_TEST(request->lastEventId == "12");
 }
 
+BOOST_AUTO_TEST_CASE(coldnessIsRead)
+{
+    Json cold = plan();
+    cold["services"][0]["cold_per_s"] = 9.1;
+    cold["services"][0]["cold_start_s"] = 3.0;
+    const ReadResult<Wire::ServicePlan> read = readPlan(cold.dump());
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read.value().services(0).cold_per_second() == 9.1);
+    BOOST_TEST(read.value().services(0).cold_start_ms() == 3000U);
+    BOOST_TEST(read.value().services(1).cold_per_second() == 0);
+    BOOST_TEST(platformDialect().readHead(200, {{"apricothead-cold-ms", "1200"}}).coldMs == 1200U);
+    BOOST_TEST(platformDialect().readHead(200, {{"apricothead-cold-ms", "soon"}}).coldMs == 0U);
+    BOOST_TEST(platformDialect().readHead(200, {}).coldMs == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ambiguousRequestIsRejected)
 {
     HttpRequest smuggled = callerRequest();
--- a/test/serving.cpp
+++ b/test/serving.cpp
@@ -13,6 +13,7 @@
 
 #include <cmath>
 #include <random>
+#include <set>
 
 using namespace Apricothead;
 
@@ -452,6 +453,13 @@
     BOOST_TEST(update.lease_round() == 4U);
     BOOST_TEST(update.load_round() == 4U);
     BOOST_TEST(update.gateways() == Gateways);
+    // Each has a place of its own among them.
+    std::set<std::uint32_t> ranks;
+    for (const auto &[peer, message] : received) {
+        ranks.insert(message.update().gateway_rank());
+    }
+    BOOST_TEST(ranks.size() == Gateways);
+    BOOST_TEST(*ranks.rbegin() == Gateways - 1);
     BOOST_REQUIRE(update.loads_size() == 1);
     BOOST_TEST(update.loads(0).running() == Gateways);
 }
--- a/test/statemachine.cpp
+++ b/test/statemachine.cpp
@@ -328,3 +328,16 @@
     BOOST_REQUIRE(this->machine.serving().suspects_size() == 1);
     BOOST_TEST(this->machine.serving().suspects(0).crash_count() == 1U);
 }
+
+BOOST_FIXTURE_TEST_CASE(evacuationOutlastsASnapshot, StateMachineFixture)
+{
+    Wire::Command command;
+    command.mutable_set_evacuation()->set_availability_zone("a");
+    BOOST_TEST(!this->apply(command).has_error());
+    const std::uint64_t number = this->machine.serving().number();
+    this->apply(command);
+    BOOST_TEST(this->machine.serving().number() == number);
+    BOOST_TEST(this->machine.restore(this->machine.snapshot()));
+    BOOST_REQUIRE(this->machine.serving().evacuations_size() == 1);
+    BOOST_TEST(this->machine.serving().evacuations(0).availability_zone() == "a");
+}
