Endpoints that have started or recovered find their pace from how they answer

Cause: an idle endpoint has the best score at every gateway, so one that has just started is flooded while it is cold.

Change: DirectEndpoints keeps an EndpointPace for each endpoint and prefers candidates that may take another request at their pace. What peers take for the same work is the prediction plus the mean by which answers of endpoints at pace exceed it.

--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -17,6 +17,8 @@
 /** Bounds on the measured prefill rate. */
 constexpr double MinTokensPerMs = 5;
 constexpr double MaxTokensPerMs = 200;
+/** Weight of the latest answer in the mean by which answers exceed their predictions. */
+constexpr double PeerDelayWeight = 0.05;
 /** The duration of repeated ejections doubles at most this many times. */
 constexpr unsigned MaxEjectionDoublings = 2;
 /** Sample size as a multiple of the number of endpoints per gateway. Replays of 6 gateways with 18 engines and of 29 gateways with 52 engines perform
@@ -117,6 +119,7 @@
         }
         found->second.othersPendingPrefillMs = load.awaiting_ms();
         found->second.othersRunning = load.running();
+        found->second.pace.recordOthers(load.running());
     }
 }
 
@@ -186,7 +189,9 @@
     if (found == this->known.end() && announcement.state() != Wire::ANNOUNCED_STATE_READY) {
         return;
     }
-    if (found != this->known.end() && found->second.announcement.born_ms() < announcement.born_ms()) {
+    const bool isRenewed = found != this->known.end() && found->second.announcement.born_ms() < announcement.born_ms();
+    const bool wasSilent = found != this->known.end() && found->second.announcement.state() == Wire::ANNOUNCED_STATE_SILENT;
+    if (isRenewed) {
         // A new incarnation starts without history, except for the load: runs of the previous incarnation are yet to be recorded as ended.
         EndpointStats renewed;
         renewed.running = found->second.running;
@@ -197,6 +202,12 @@
     KnownEndpoint &endpoint = this->findOrAdd(announcement.endpoint());
     const std::string previousService = endpoint.announcement.service();
     endpoint.announcement = announcement;
+    // The endpoints that a gateway finds when it starts have not just started themselves.
+    const bool isAdded = previousService.empty() && this->answeredServices.contains(announcement.service());
+    const bool hasRecovered = wasSilent && announcement.state() == Wire::ANNOUNCED_STATE_READY;
+    if (isRenewed || isAdded || hasRecovered) {
+        this->startPace(endpoint);
+    }
     const bool isRemovable = announcement.state() == Wire::ANNOUNCED_STATE_GONE && endpoint.running == 0;
     if (isRemovable) {
         this->removeEndpoint(announcement.endpoint());
@@ -219,10 +230,14 @@
     if (zones == this->evacuatedZones) {
         return;
     }
-    this->evacuatedZones = std::move(zones);
-    for (const auto &[name, endpoint] : this->known) {
+    for (auto &[name, endpoint] : this->known) {
+        const std::string &zone = endpoint.announcement.availability_zone();
+        if (this->evacuatedZones.contains(zone) && !zones.contains(zone)) {
+            this->startPace(endpoint);
+        }
         this->changedServices.insert(endpoint.announcement.service());
     }
+    this->evacuatedZones = std::move(zones);
 }
 
 std::map<std::string, std::size_t> DirectEndpoints::evacuatedCounts() const
@@ -434,6 +449,7 @@
     if (candidateSet.candidates.empty()) {
         return std::nullopt;
     }
+    DirectEndpoints::preferOpen(candidateSet.candidates);
     ScoredEndpoint best;
     for (const KnownEndpoint *endpoint : candidateSet.candidates) {
         const ScoredEndpoint scored = this->score(*endpoint, query, candidateSet);
@@ -480,6 +496,7 @@
     endpoint.pendingPrefillMs = std::max(0.0, endpoint.pendingPrefillMs - this->prefillMs(choice.model, choice.uncachedTokens));
     std::uint64_t &sentMs = endpoint.lastAnsweredSentMs[choice.model];
     sentMs = std::max(sentMs, nowMs - tookMs);
+    this->recordPace(endpoint, choice, static_cast<double>(tookMs));
     const bool isTimed = choice.uncachedTokens >= MinTimedTokens && tookMs > 0;
     if (isTimed) {
         PrefillRate &rate = this->prefillRates[choice.model];
@@ -488,6 +505,58 @@
     }
 }
 
+std::uint64_t DirectEndpoints::inFlight(const KnownEndpoint &endpoint)
+{
+    return endpoint.running + endpoint.othersRunning;
+}
+
+void DirectEndpoints::startPace(KnownEndpoint &endpoint) const
+{
+    if (this->options.pace) {
+        endpoint.pace = EndpointPace(*this->options.pace);
+        endpoint.pace.start();
+    }
+}
+
+void DirectEndpoints::recordPace(KnownEndpoint &endpoint, const EndpointChoice &choice, double tookMs)
+{
+    if (!this->options.pace) {
+        return;
+    }
+    const std::string &service = endpoint.announcement.service();
+    this->answeredServices.insert(service);
+    double &delayMs = this->peerDelayMs[{service, choice.model}];
+    if (endpoint.pace.isAtPace()) {
+        delayMs += PeerDelayWeight * (tookMs - choice.expectedMs - delayMs);
+        return;
+    }
+    endpoint.pace.recordAnswer(tookMs, choice.expectedMs + std::max(0.0, delayMs), this->meanInFlightAtPace(service));
+}
+
+double DirectEndpoints::meanInFlightAtPace(const std::string &service) const
+{
+    double sum = 0;
+    double count = 0;
+    for (const auto &[name, endpoint] : this->known) {
+        if (endpoint.announcement.service() != service || !this->isEligible(endpoint) || !endpoint.pace.isAtPace()) {
+            continue;
+        }
+        sum += static_cast<double>(DirectEndpoints::inFlight(endpoint));
+        ++count;
+    }
+    return count > 0 ? sum / count : 0;
+}
+
+void DirectEndpoints::preferOpen(std::vector<const KnownEndpoint *> &candidates)
+{
+    const auto isClosed = [](const KnownEndpoint *endpoint) {
+        return !endpoint->pace.canTake(DirectEndpoints::inFlight(*endpoint));
+    };
+    if (!std::all_of(candidates.begin(), candidates.end(), isClosed)) {
+        std::erase_if(candidates, isClosed);
+    }
+}
+
 bool DirectEndpoints::canEject(const std::string &service, std::uint64_t nowMs) const
 {
     std::size_t ready = 0;
@@ -507,6 +576,7 @@
     if (endpoint.ejectedUntilMs > nowMs || !this->canEject(endpoint.announcement.service(), nowMs)) {
         return;
     }
+    this->startPace(endpoint);
     endpoint.ejectedUntilMs = nowMs + (this->options.baseEjectionMs << std::min(endpoint.ejections, MaxEjectionDoublings));
     ++endpoint.ejections;
     endpoint.consecutiveFailures = 0;
@@ -526,6 +596,7 @@
     const auto found = this->known.find(name);
     if (found != this->known.end()) {
         found->second.pausedUntilMs = std::max(found->second.pausedUntilMs, nowMs + pauseMs);
+        this->startPace(found->second);
     }
 }
 
@@ -570,6 +641,9 @@
     if (isFailure(outcome)) {
         ++endpoint.consecutiveFailures;
     }
+    if (isFailure(outcome) || outcome == AttemptOutcome::Refused) {
+        endpoint.pace.recordFailure();
+    }
     const bool isUnreachable = outcome == AttemptOutcome::Unreachable;
     if (isUnreachable || endpoint.consecutiveFailures >= this->options.ejectAfterFailures || endpoint.failedShare > this->options.maxFailedShare) {
         this->eject(endpoint, nowMs);
@@ -613,4 +687,11 @@
     }));
 }
 
+std::size_t DirectEndpoints::pacedCount(const std::string &service) const
+{
+    return static_cast<std::size_t>(std::count_if(this->known.begin(), this->known.end(), [this, &service](const auto &entry) {
+        return entry.second.announcement.service() == service && this->isEligible(entry.second) && !entry.second.pace.isAtPace();
+    }));
+}
+
 } // namespace Apricothead
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ColdRate.h"
+#include "EndpointPace.h"
 #include "EndpointRing.h"
 #include "LoadTotals.h"
 #include "PrefixCacheEstimate.h"
@@ -113,6 +114,8 @@
      * part of it. */
     std::uint64_t cacheCapacityTokens = 350'000;
     ColdRateOptions coldRate = {};
+    /** How the pace of endpoints that have started or recovered is found; nothing: they are used like all others at once. */
+    std::optional<EndpointPaceOptions> pace = {};
 };
 
 /** \class DirectEndpoints
@@ -127,6 +130,7 @@
  * - Load that differs between gateways. Gateways exchange through the leader what they have sent, as one long prompt can occupy an engine for
  *   seconds. They also exchange which prompts they sent to which endpoint, so that each gateway can estimate the cache of every engine, and a
  *   prompt that was processed away from its home is not processed a third time elsewhere.
+ * - Endpoints that have just started or recovered, which are idle and slow. Their pace is found from how they answer. \sa EndpointPace
  * - Many announcements at once: a start, a roll-out or an added third of the endpoints. They are recorded one by one, and the groups and rings are
  *   built at the next choice.
  *
@@ -204,6 +208,9 @@
     /** \returns the number of ready endpoints of \a service */
     std::size_t readyCount(const std::string &service) const;
 
+    /** \returns the number of ready endpoints of \a service that have not found their pace */
+    std::size_t pacedCount(const std::string &service) const;
+
 private:
     struct SentPrefix {
         std::uint64_t prefix = 0;
@@ -224,6 +231,7 @@
         /** Unlike an ejection, a pause that the endpoint asked for holds even when no other endpoint is left. */
         std::uint64_t pausedUntilMs = 0;
         std::uint64_t coldUntilMs = 0;
+        EndpointPace pace;
         bool isLeaving = false;
         /** Prompts sent since the last report, the oldest first. */
         std::vector<SentPrefix> unreportedPrefixes;
@@ -260,6 +268,14 @@
     static bool isReady(const KnownEndpoint &endpoint);
     /** \returns whether \a endpoint is ready and its availability zone is not evacuated */
     bool isEligible(const KnownEndpoint &endpoint) const;
+    static std::uint64_t inFlight(const KnownEndpoint &endpoint);
+    /** The endpoint has started or recovered. */
+    void startPace(KnownEndpoint &endpoint) const;
+    /** Records for the pace that an answer to \a choice took \a tookMs. */
+    void recordPace(KnownEndpoint &endpoint, const EndpointChoice &choice, double tookMs);
+    double meanInFlightAtPace(const std::string &service) const;
+    /** Removes candidates that may not take another request at their pace, unless there are no others. */
+    static void preferOpen(std::vector<const KnownEndpoint *> &candidates);
     /** \returns the rate that \a endpoint bears while it is cold; 0 when it is warm or bears any */
     double coldRateOf(const KnownEndpoint &endpoint, std::uint64_t nowMs) const;
     KnownEndpoint &findOrAdd(const std::string &endpoint);
@@ -283,6 +299,10 @@
         double tookMs = 0;
     };
     std::map<std::string, PrefillRate> prefillRates;
+    /** Services that have answered this gateway. */
+    std::set<std::string> answeredServices;
+    /** Mean by which answers of endpoints at pace took longer than predicted, by service and model. */
+    std::map<std::pair<std::string, std::string>, double> peerDelayMs;
     /** By service, then by version. Derived from \c known, and outdated for the services in \c changedServices. */
     mutable std::map<std::string, std::map<std::string, Group>> groups;
     mutable std::set<std::string> changedServices;
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -62,6 +62,7 @@
               .endpoints = DirectEndpoints({
                   .availabilityZone = settings.availabilityZone,
                   .coldRate = {.ratio = settings.gateway->coldRatio, .slack = settings.gateway->coldSlack},
+                  .pace = settings.gateway->paceStarted ? std::optional(EndpointPaceOptions{}) : std::nullopt,
               }),
               .versionSplit = VersionSplit(static_cast<std::uint64_t>(settings.gateway->session.count())),
               .retries = RetryWindow({
@@ -321,6 +322,7 @@
     for (int index = 0; plan && index < plan->plan().services_size(); ++index) {
         const std::string &service = plan->plan().services(index).name();
         gauge("endpoints_ready", service, static_cast<double>(this->context.endpoints.readyCount(service)));
+        gauge("endpoints_paced", service, static_cast<double>(this->context.endpoints.pacedCount(service)));
         gauge("retries_left", service, this->context.retries.remaining(service, this->context.loop.nowMs()));
     }
     return lines;
--- a/Apricothead/src/Protocol/Settings.h
+++ b/Apricothead/src/Protocol/Settings.h
@@ -151,6 +151,8 @@
     /** Requests to a cold endpoint in one second, over all gateways, for each that it bears; and how many more. */
     double coldRatio = 1.5;
     double coldSlack = 5;
+    /** Whether the pace of endpoints that have started or recovered is found from how they answer. */
+    bool paceStarted = false;
     /** The process is ended this long after it was asked to stop. */
     std::chrono::milliseconds grace{8000};
 
--- a/Apricothead/src/Protocol/SettingsReader.cpp
+++ b/Apricothead/src/Protocol/SettingsReader.cpp
@@ -189,6 +189,7 @@
     readValue(object, "retrySlack", gateway.retrySlack);
     readValue(object, "coldRatio", gateway.coldRatio);
     readValue(object, "coldSlack", gateway.coldSlack);
+    readValue(object, "paceStarted", gateway.paceStarted);
     readSeconds(object, "graceSeconds", gateway.grace);
     return gateway;
 }
--- a/bench/Fleet.cpp
+++ b/bench/Fleet.cpp
@@ -130,15 +130,7 @@
         auto gateway = std::make_unique<Gateway>(decisions, this->options.engines);
         gateway->endpoints.setGatewayCount(this->options.knowsGateways ? this->options.gateways : 1);
         for (unsigned engine = 0; engine < this->options.engines; ++engine) {
-            Wire::EndpointAnnouncement made;
-            made.set_endpoint(engineName(engine));
-            made.set_service("pool");
-            made.set_address(engineName(engine));
-            made.set_version("v1");
-            made.set_availability_zone(zoneName(engine % this->options.zones));
-            made.set_state(Wire::ANNOUNCED_STATE_READY);
-            made.set_born_ms(1);
-            gateway->endpoints.applyAnnouncement(made);
+            this->announce(*gateway, engine, 1);
         }
         this->gateways.push_back(std::move(gateway));
     }
@@ -175,8 +167,8 @@
         this->clock.at(pattern.fromMs, [this, engine] {
             this->engines[engine]->fail();
         });
-        this->clock.at(pattern.untilMs, [this, engine] {
-            this->engines[engine]->restore();
+        this->clock.at(pattern.untilMs, [this, engine, pattern] {
+            this->restart(engine, pattern);
         });
     }
     if (pattern.slowness <= 1) {
@@ -190,6 +182,34 @@
     });
 }
 
+void Fleet::announce(Gateway &gateway, std::size_t engine, std::int64_t bornMs) const
+{
+    Wire::EndpointAnnouncement made;
+    made.set_endpoint(engineName(engine));
+    made.set_service("pool");
+    made.set_address(engineName(engine));
+    made.set_version("v1");
+    made.set_availability_zone(zoneName(engine % this->options.zones));
+    made.set_state(Wire::ANNOUNCED_STATE_READY);
+    made.set_born_ms(bornMs);
+    gateway.endpoints.applyAnnouncement(made);
+}
+
+void Fleet::restart(std::size_t engine, const LoadPattern &pattern)
+{
+    this->engines[engine]->restore();
+    if (pattern.coldMs <= 0) {
+        return;
+    }
+    this->engines[engine]->setSlowness(pattern.coldSlowness);
+    this->clock.after(pattern.coldMs, [this, engine] {
+        this->engines[engine]->setSlowness(1);
+    });
+    for (const auto &gateway : this->gateways) {
+        this->announce(*gateway, engine, 2);
+    }
+}
+
 void Fleet::tell()
 {
     std::vector<std::vector<Wire::EndpointLoad>> told;
--- a/bench/Fleet.h
+++ b/bench/Fleet.h
@@ -110,6 +110,9 @@
     void finish(Call &call, bool served);
     void tell();
     void disturb(const LoadPattern &pattern);
+    /** An engine that was lost starts anew, cold. */
+    void restart(std::size_t engine, const LoadPattern &pattern);
+    void announce(Gateway &gateway, std::size_t engine, std::int64_t bornMs) const;
 
     FleetOptions options;
     VirtualClock clock;
--- a/bench/LoadPattern.h
+++ b/bench/LoadPattern.h
@@ -44,6 +44,9 @@
     /** Share of the first zone's callers that come to the second zone. */
     double shiftedShare = 0;
     double lostShare = 0;
+    /** Lost engines start anew, and are slower by this for so long. */
+    double coldSlowness = 1;
+    double coldMs = 0;
     double slowness = 1;
     /** Prompts shrink and answers grow by this. */
     double longerAnswers = 1;
--- a/test/loadreplay.cpp
+++ b/test/loadreplay.cpp
@@ -4,6 +4,7 @@
 #include <Fleet.h>
 
 #include <algorithm>
+#include <optional>
 
 using namespace Apricothead;
 using namespace Apricothead::Bench;
@@ -105,6 +106,52 @@
     BOOST_TEST(replay("burst", {}).worth > replay("burst", hashed).worth);
 }
 
+namespace {
+
+/** A third of the engines starts anew at once, and is slow for some seconds. */
+LoadPattern coldReturn(double slowness)
+{
+    return {.name = "cold-return", .fromMs = 6000, .untilMs = 9000, .burst = 1, .lostShare = 0.34, .coldSlowness = slowness, .coldMs = 6000};
+}
+
+ReplayResult replayReturn(double slowness, std::optional<EndpointPaceOptions> pace, unsigned gateways)
+{
+    FleetOptions options;
+    options.gateways = gateways;
+    options.decisions.pace = pace;
+    ReplayResult sum;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        const FleetFigures figures = Fleet(options, seed).replay(coldReturn(slowness));
+        sum.worth += figures.worth() / static_cast<double>(Seeds);
+        sum.late += figures.lateShare() / static_cast<double>(Seeds);
+    }
+    BOOST_TEST_MESSAGE("slowness " << slowness << ", gateways " << gateways << (pace ? ", paced" : ", not paced") << ": worth " << sum.worth << ", late "
+                                   << sum.late);
+    return sum;
+}
+
+} // namespace
+
+// Every gateway prefers the engines that have just started, as they are idle, and floods them while they are slow.
+BOOST_AUTO_TEST_CASE(enginesThatReturnColdAreNotFlooded)
+{
+    constexpr double Slowness = 6;
+    for (const unsigned gateways : {6U, 27U}) {
+        const ReplayResult paced = replayReturn(Slowness, EndpointPaceOptions{}, gateways);
+        const ReplayResult flooded = replayReturn(Slowness, std::nullopt, gateways);
+        BOOST_TEST(paced.late < flooded.late);
+        BOOST_TEST(paced.worth > flooded.worth);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(enginesThatReturnWarmAreNotLeftIdle)
+{
+    constexpr double Tolerance = 0.01;
+    const ReplayResult paced = replayReturn(1, EndpointPaceOptions{}, 6);
+    const ReplayResult unpaced = replayReturn(1, std::nullopt, 6);
+    BOOST_TEST(paced.worth > unpaced.worth - Tolerance);
+}
+
 // ---- the simulated engine ----
 
 namespace {
