Endpoints of a zone that is taken back count as just started

They may have turned cold since their last heartbeats, 1.2 s apart, and all gateways find them idle at once. Test: zoneThatIsTakenBackCountsAsCold.

--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -214,14 +214,21 @@
     }
 }
 
-void DirectEndpoints::setEvacuatedZones(std::set<std::string> zones)
+void DirectEndpoints::setEvacuatedZones(std::set<std::string> zones, std::uint64_t nowMs)
 {
     if (zones == this->evacuatedZones) {
         return;
     }
-    this->evacuatedZones = std::move(zones);
-    for (const auto &[name, endpoint] : this->known) {
-        this->changedServices.insert(endpoint.announcement.service());
+    std::swap(zones, this->evacuatedZones);
+    for (auto &[name, endpoint] : this->known) {
+        const std::string &service = endpoint.announcement.service();
+        this->changedServices.insert(service);
+        const std::string &zone = endpoint.announcement.availability_zone();
+        const bool isTakenBack = zones.contains(zone) && !this->evacuatedZones.contains(zone);
+        const auto cold = this->coldServices.find(service);
+        if (isTakenBack && cold != this->coldServices.end()) {
+            this->recordCold(name, cold->second.startMs, nowMs);
+        }
     }
 }
 
@@ -236,9 +243,9 @@
     return counts;
 }
 
-void DirectEndpoints::setColdRates(std::map<std::string, double> perSecond)
+void DirectEndpoints::setColdServices(std::map<std::string, ColdService> services)
 {
-    this->coldRates = std::move(perSecond);
+    this->coldServices = std::move(services);
 }
 
 void DirectEndpoints::setGatewayPlace(std::uint32_t rank, std::uint32_t count, std::uint64_t offsetMs)
@@ -269,8 +276,8 @@
     if (endpoint.coldUntilMs <= nowMs) {
         return 0;
     }
-    const auto rate = this->coldRates.find(endpoint.announcement.service());
-    return rate == this->coldRates.end() ? 0 : rate->second;
+    const auto cold = this->coldServices.find(endpoint.announcement.service());
+    return cold == this->coldServices.end() ? 0 : cold->second.perSecond;
 }
 
 std::uint64_t DirectEndpoints::rebuilds() const
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -86,6 +86,15 @@
     Cancelled,
 };
 
+/** \class ColdService
+ * \ingroup Decisions_Module
+ * \brief What a cold endpoint of a service bears, and how long it stays cold after its start.
+ */
+struct ColdService {
+    double perSecond = 0;
+    std::uint64_t startMs = 0;
+};
+
 /** \class DirectEndpointsOptions
  * \ingroup Decisions_Module
  * \brief Cost model, ejection thresholds and limits of DirectEndpoints.
@@ -154,13 +163,14 @@
     void applyAnnouncement(const Wire::EndpointAnnouncement &announcement);
     void applyAnnouncements(const std::vector<Wire::EndpointAnnouncement> &announcements);
 
-    /** Sets the availability zones whose endpoints get nothing: neither as candidates nor as homes, last resorts or holders of a prompt. */
-    void setEvacuatedZones(std::set<std::string> zones);
+    /** Sets the availability zones whose endpoints get nothing: neither as candidates nor as homes, last resorts or holders of a prompt. Endpoints
+     * of a zone that is taken back count as just started, as they may have turned cold since their last heartbeats. */
+    void setEvacuatedZones(std::set<std::string> zones, std::uint64_t nowMs);
     /** \returns the number of ready endpoints that are left out, by evacuated availability zone */
     std::map<std::string, std::size_t> evacuatedCounts() const;
 
-    /** Sets the requests a second that a cold endpoint bears, by service; a service that is not listed bears any. */
-    void setColdRates(std::map<std::string, double> perSecond);
+    /** Sets what cold endpoints bear, by service; those of a service that is not listed bear any rate. */
+    void setColdServices(std::map<std::string, ColdService> services);
     /** Sets this gateway's place among those that share the turns at cold endpoints. \a clockOffsetMs is what the clock that all gateways share is
      * ahead of that of \c nowMs. \sa ColdRate */
     void setGatewayPlace(std::uint32_t rank, std::uint32_t count, std::uint64_t clockOffsetMs);
@@ -293,7 +303,7 @@
     std::uint32_t gatewayCount = 1;
     std::set<std::string> evacuatedZones;
     ColdRate coldRate;
-    std::map<std::string, double> coldRates;
+    std::map<std::string, ColdService> coldServices;
     std::uint64_t clockOffsetMs = 0;
     /** Declared after \c holders, which the caches of the endpoints refer to. */
     std::map<std::string, KnownEndpoint> known;
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -11,6 +11,7 @@
 #include "../Transport/WallClock.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -212,28 +213,27 @@
 
 void GatewayTask::Private::applyZones(const Wire::ServingState &state)
 {
+    std::map<std::string, ColdService> coldServices;
+    for (const Wire::PlanService &service : state.plan().services()) {
+        if (service.cold_per_second() > 0) {
+            coldServices[service.name()] = {.perSecond = service.cold_per_second(), .startMs = service.cold_start_ms()};
+        }
+    }
+    this->context.endpoints.setColdServices(std::move(coldServices));
     std::set<std::string> zones;
     for (const Wire::Evacuation &evacuation : state.evacuations()) {
         zones.insert(evacuation.availability_zone());
     }
-    const bool isChanged = zones != this->evacuatedZones;
-    this->evacuatedZones = zones;
-    this->context.endpoints.setEvacuatedZones(std::move(zones));
+    this->context.endpoints.setEvacuatedZones(zones, this->context.loop.nowMs());
+    if (std::exchange(this->evacuatedZones, zones) == zones) {
+        return;
+    }
     for (const auto &[zone, endpoints] : this->context.endpoints.evacuatedCounts()) {
-        if (isChanged) {
-            logLine(LogLevel::Warning, "zone-evacuated", {{"zone", zone}, {"endpoints", static_cast<std::uint64_t>(endpoints)}});
-        }
+        logLine(LogLevel::Warning, "zone-evacuated", {{"zone", zone}, {"endpoints", static_cast<std::uint64_t>(endpoints)}});
     }
-    if (isChanged && this->evacuatedZones.empty()) {
+    if (zones.empty()) {
         logLine(LogLevel::Info, "zones-in-use", {{"number", state.number()}});
     }
-    std::map<std::string, double> coldRates;
-    for (const Wire::PlanService &service : state.plan().services()) {
-        if (service.cold_per_second() > 0) {
-            coldRates[service.name()] = service.cold_per_second();
-        }
-    }
-    this->context.endpoints.setColdRates(std::move(coldRates));
 }
 
 void GatewayTask::Private::withdrawWithheld()
--- a/test/zones.cpp
+++ b/test/zones.cpp
@@ -6,6 +6,8 @@
 #include <Apricothead/src/Coordination/Shared/AnnouncementRegistry.h>
 #include <Apricothead/src/State/ServingTable.h>
 
+#include <set>
+
 using namespace Apricothead;
 
 namespace {
@@ -110,7 +112,7 @@
         zones.recordStart(query(part), {.endpoint = "a" + std::to_string(part % 20), .model = "small"});
     }
     BOOST_TEST(zones.chosenIn('a') > 0U);
-    zones.setEvacuatedZones({"a"});
+    zones.setEvacuatedZones({"a"}, 0);
     BOOST_TEST(zones.chosenIn('a') == 0U);
     BOOST_TEST(zones.chosenIn('b') == 100U);
     BOOST_TEST(zones.readyCount("pool") == 20U);
@@ -118,16 +120,16 @@
     // Endpoints that start there are left out as well.
     zones.applyAnnouncement(endpoint("a20", "a"));
     BOOST_TEST(zones.chosenIn('a') == 0U);
-    zones.setEvacuatedZones({});
+    zones.setEvacuatedZones({}, 0);
     BOOST_TEST(zones.chosenIn('a') > 0U);
 }
 
 BOOST_AUTO_TEST_CASE(evacuatedZoneIsNoLastResort)
 {
     Zones zones;
-    zones.setEvacuatedZones({"a", "b"});
+    zones.setEvacuatedZones({"a", "b"}, 0);
     BOOST_TEST(!zones.choose(query(1), 0));
-    zones.setEvacuatedZones({"a"});
+    zones.setEvacuatedZones({"a"}, 0);
     for (unsigned number = 0; number < 20; ++number) {
         zones.recordPause("b" + std::to_string(number), 500, 0);
     }
@@ -140,8 +142,8 @@
 BOOST_AUTO_TEST_CASE(coldEndpointsGetOneRequestInAGatewaysTurn)
 {
     Zones zones;
-    zones.setColdRates({{"pool", 9.1}});
-    zones.setEvacuatedZones({"b"});
+    zones.setColdServices({{"pool", {.perSecond = 9.1}}});
+    zones.setEvacuatedZones({"b"}, 0);
     for (unsigned number = 1; number < 20; ++number) {
         zones.applyAnnouncement([number] {
             Wire::EndpointAnnouncement gone = endpoint("a" + std::to_string(number), "a");
@@ -165,11 +167,33 @@
     // The warm endpoint takes any number, as does one of a service that bears any.
     zones.recordSent("a0", ColdMs);
     BOOST_TEST(zones.choose(query(1), ColdMs).has_value());
-    zones.setColdRates({});
+    zones.setColdServices({});
     zones.recordCold("a0", ColdMs, ColdMs);
     BOOST_TEST(zones.choose(query(1), ColdMs).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(zoneThatIsTakenBackCountsAsCold)
+{
+    Zones zones;
+    zones.setGatewayPlace(0, 2, 0);
+    zones.setColdServices({{"pool", {.perSecond = 9.1, .startMs = 3000}}});
+    zones.setEvacuatedZones({"a"}, 0);
+    constexpr std::uint64_t BackMs = 10000;
+    zones.setEvacuatedZones({}, BackMs);
+    // Of two gateways this one has about half of the turns.
+    const unsigned chosen = zones.chosenIn('a', BackMs + 1000);
+    BOOST_TEST(zones.chosenIn('b', BackMs + 1000) > chosen);
+    std::set<std::string> sentTo;
+    for (unsigned request = 0; request < 100; ++request) {
+        const auto choice = zones.choose(query(request), BackMs + 1000);
+        BOOST_REQUIRE(choice.has_value());
+        zones.recordSent(choice->endpoint, BackMs + 1000);
+        BOOST_TEST((choice->endpoint.front() == 'b' || sentTo.insert(choice->endpoint).second));
+    }
+    BOOST_TEST(zones.chosenIn('a', BackMs + 1000) == 0U);
+    BOOST_TEST(zones.chosenIn('a', BackMs + 3000) > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(turningColdOrWarmIsNews)
 {
     AnnouncementRegistry registry(6000, 60000);
