--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -244,8 +244,6 @@
             this->recordCold(name, cold->second.startMs, nowMs);
         }
     }
-    }
-    this->evacuatedZones = std::move(zones);
 }
 
 std::map<std::string, std::size_t> DirectEndpoints::evacuatedCounts() const
