A full or failing disk suspends a replica and no longer ends it

Cause: LogStore refused every write after a failed one, and ReplicaTask ended its role, and so the process, on any failed write, also at its next start. Entries that were loaded were taken for synced, though the process that wrote them may have been ended before its sync.

Read index rounds of a leader of its own term are still confirmed. The write-ahead log is cut after a checkpoint.

--- a/Apricothead/src/Coordination/Replica/ReplicaTask.h
+++ b/Apricothead/src/Coordination/Replica/ReplicaTask.h
@@ -20,7 +20,8 @@
 struct ReplicaTaskOptions {
     /** Must configure the replica role. */
     Settings settings;
-    /** The replica cannot continue, for instance because a sync failed. It has stopped answering. */
+    /** The replica cannot continue, for instance because its log holds what it cannot read. It has stopped answering. A write that fails is no
+     * such case: the replica waits until the disk takes writes again. */
     std::function<void(const std::string &reason)> onFailed;
     /** Called before each sync; returning false makes the sync fail. For tests and benchmarks. */
     std::function<bool()> beforeSync;
@@ -37,7 +38,10 @@
     std::uint64_t entryBytes = 0;
     std::uint64_t sentBytes = 0;
     std::uint64_t appliedIndex = 0;
+    std::uint64_t failedWrites = 0;
     bool leading = false;
+    /** The disk refuses writes; the replica takes part in nothing that needs one. */
+    bool suspended = false;
 
     bool operator==(const ReplicaCounters &) const = default;
 };
--- a/Apricothead/src/State/LogStore.cpp
+++ b/Apricothead/src/State/LogStore.cpp
@@ -9,12 +9,15 @@
 #include <array>
 #include <filesystem>
 #include <random>
+#include <utility>
 
 namespace Apricothead {
 
 namespace {
 
 constexpr std::size_t SnapshotRowBytes = 1024 * 1024;
+/** Size to which the write-ahead log is cut after a checkpoint; else it keeps the size of the largest transaction for good. */
+constexpr const char *LimitWriteAheadLog = "PRAGMA journal_size_limit=4194304";
 
 /** Owns a prepared SQLite statement. */
 class Statement
@@ -128,7 +131,9 @@
     std::uint64_t lastIndex = 0;
     std::uint64_t writeCount = 0;
     std::uint64_t entryBytes = 0;
-    bool failed = false;
+    std::uint64_t failedWrites = 0;
+    /** What the database held when it was opened has been synced by this process. */
+    bool isSynced = false;
 
     ~Private()
     {
@@ -143,9 +148,8 @@
         return {.code = code, .message = what + " (folder " + this->options.folder + ")"};
     }
 
-    StoreError ioError(const std::string &what)
+    StoreError ioError(const std::string &what) const
     {
-        this->failed = true;
         return this->error(StoreError::Code::Io, what + ": " + sqlite3_errmsg(this->database));
     }
 
@@ -167,6 +171,7 @@
     bool dropEntriesBefore(std::uint64_t first);
     bool dropEntriesFrom(std::uint64_t first);
     bool updateWriteCounter() const;
+    StoreResult<void> sync();
     StoreResult<void> transaction(const std::function<bool()> &write);
 };
 
@@ -179,7 +184,7 @@
         return this->ioError("cannot open replica.db");
     }
     const bool ready = this->execute("PRAGMA locking_mode=EXCLUSIVE") && this->execute("PRAGMA journal_mode=WAL") && this->execute("PRAGMA synchronous=FULL")
-        && this->execute(Schema);
+        && this->execute(LimitWriteAheadLog) && this->execute(Schema);
     if (!ready) {
         return this->ioError("cannot configure replica.db or create its tables");
     }
@@ -377,19 +382,38 @@
     return ::pwrite(this->writeCounterFile, &this->writeCount, sizeof(this->writeCount), 0) == static_cast<ssize_t>(sizeof(this->writeCount));
 }
 
-StoreResult<void> LogStore::Private::transaction(const std::function<bool()> &write)
+StoreResult<void> LogStore::Private::sync()
 {
-    if (this->failed) {
-        return this->error(StoreError::Code::Io, "an earlier write failed; the state on disk is unknown");
+    if (this->isSynced) {
+        return boost::outcome_v2::success();
+    }
+    // A checkpoint syncs the write-ahead log, writes its pages to the database anew and syncs that.
+    if ((this->options.beforeSync && !this->options.beforeSync()) || !this->execute("PRAGMA wal_checkpoint(TRUNCATE)")) {
+        ++this->failedWrites;
+        return this->ioError("cannot sync what the database held at its start");
     }
+    this->isSynced = true;
+    return boost::outcome_v2::success();
+}
+
+StoreResult<void> LogStore::Private::transaction(const std::function<bool()> &write)
+{
+    BOOST_OUTCOME_TRYV(this->sync());
+    const std::uint64_t previousLastIndex = this->lastIndex;
     ++this->writeCount;
-    if (!this->execute("BEGIN IMMEDIATE") || !write() || !this->writeHardState()) {
-        const StoreError failure = this->ioError("write failed");
+    const bool written = this->execute("BEGIN IMMEDIATE") && write() && this->writeHardState();
+    if (!written || (this->options.beforeSync && !this->options.beforeSync()) || !this->execute("COMMIT")) {
+        const StoreError failure = this->ioError(written ? "commit or sync failed" : "write failed");
+        // SQLite rolls back by itself after some errors; the frames written so far are overwritten by the next transaction.
         this->execute("ROLLBACK");
+        this->lastIndex = previousLastIndex;
+        --this->writeCount;
+        ++this->failedWrites;
         return failure;
     }
-    if ((this->options.beforeSync && !this->options.beforeSync()) || !this->execute("COMMIT") || !this->updateWriteCounter()) {
-        return this->ioError("commit or sync failed");
+    if (!this->updateWriteCounter()) {
+        ++this->failedWrites;
+        return this->ioError("cannot write the write counter file 'writes'");
     }
     return boost::outcome_v2::success();
 }
@@ -444,12 +468,24 @@
     return persistentState;
 }
 
+StoreResult<void> LogStore::sync()
+{
+    return this->d->sync();
+}
+
+void LogStore::reclaim()
+{
+    this->d->execute("PRAGMA wal_checkpoint(TRUNCATE)");
+}
+
 StoreResult<void> LogStore::save(const RaftOutput &output)
 {
-    if (output.hardState) {
-        this->d->hardState = *output.hardState;
+    const std::uint64_t lastBefore = output.snapshot ? output.snapshot->index : this->d->lastIndex;
+    if (!output.entries.empty() && output.entries.front().index() > lastBefore + 1) {
+        return this->d->error(StoreError::Code::Corrupt, "log entry " + std::to_string(lastBefore + 1) + " was not written");
     }
-    return this->d->transaction([this, &output] {
+    const RaftHardState previous = std::exchange(this->d->hardState, output.hardState.value_or(this->d->hardState));
+    StoreResult<void> saved = this->d->transaction([this, &output] {
         bool written = true;
         if (output.snapshot) {
             written = this->d->dropEntriesFrom(0) && this->d->writeSnapshot(*output.snapshot);
@@ -464,6 +500,10 @@
         this->d->lastIndex = output.entries.back().index();
         return this->d->writeEntries(output.entries);
     });
+    if (!saved) {
+        this->d->hardState = previous;
+    }
+    return saved;
 }
 
 StoreResult<void> LogStore::compact(const RaftSnapshot &snapshot, std::uint64_t firstRetained)
@@ -479,6 +519,11 @@
     return this->d->writeCount;
 }
 
+std::uint64_t LogStore::failedWrites() const
+{
+    return this->d->failedWrites;
+}
+
 std::uint64_t LogStore::entryBytes() const
 {
     return this->d->entryBytes;
--- a/Apricothead/src/State/LogStore.h
+++ b/Apricothead/src/State/LogStore.h
@@ -47,7 +47,8 @@
  * \ingroup State_Module
  * \brief Stores log, hard state, snapshot and identity of one replica in a SQLite database; each write is synced.
  *
- * After a failed write the store rejects all further writes with StoreError::Code::Io, since it is unknown what reached the disk.
+ * A failed write is rolled back as a whole and may be tried again: a disk that is full or refuses writes for a while must not end a replica.
+ * Entries that would leave a gap are refused, so that a write which failed cannot be skipped.
  * \sa Raft
  */
 class LogStore
@@ -66,6 +67,13 @@
     /** Reads the persisted state. Fails with StoreError::Code::Corrupt on a wrong checksum or a gap in the log. */
     StoreResult<RaftPersistentState> load();
 
+    /** Makes durable what load() returned. An earlier process may have been ended between a write and its sync, and what was read may be in the
+     * page cache only; no entry may be acknowledged on the strength of that. Also done by the first write. */
+    StoreResult<void> sync();
+
+    /** Returns the space of the write-ahead log to the disk, as far as that is possible without a write that fails. */
+    void reclaim();
+
     /** Writes hard state, snapshot and entries of \a output in one transaction with one sync. */
     StoreResult<void> save(const RaftOutput &output);
 
@@ -75,6 +83,9 @@
     /** \returns the number of write transactions, each with one sync, since the folder was created */
     std::uint64_t syncCount() const;
 
+    /** \returns the number of writes that failed since the store was opened */
+    std::uint64_t failedWrites() const;
+
     /** \returns the number of bytes of entry data written since the store was opened */
     std::uint64_t entryBytes() const;
 
--- a/Apricothead/src/State/Raft.cpp
+++ b/Apricothead/src/State/Raft.cpp
@@ -816,6 +816,36 @@
     return this->isTransferringLeadership();
 }
 
+std::optional<Wire::RaftMessage> Raft::resign()
+{
+    if (this->currentRole == RaftRole::Follower) {
+        return std::nullopt;
+    }
+    std::string successor;
+    std::uint64_t highestMatch = 0;
+    for (const auto &[name, known] : this->members) {
+        if (this->currentRole == RaftRole::Leader && this->isVoter(name) && known.active && known.match >= highestMatch) {
+            highestMatch = known.match;
+            successor = name;
+        }
+    }
+    this->becomeFollower(this->hardState.term, {});
+    return successor.empty() ? std::nullopt : std::make_optional(this->makeMessage(Wire::RAFT_KIND_TIMEOUT_NOW, successor));
+}
+
+std::optional<Wire::RaftMessage> Raft::confirmRound(const Wire::RaftMessage &append) const
+{
+    const bool isAppend = append.kind() == Wire::RAFT_KIND_APPEND || append.kind() == Wire::RAFT_KIND_SNAPSHOT;
+    if (!isAppend || append.to() != this->options.self || append.term() != this->hardState.term) {
+        return std::nullopt;
+    }
+    // A rejection at index 0 leaves the leader's view of this log as it is; entries dropped here are found missing at a later heartbeat.
+    Wire::RaftMessage reply = this->makeMessage(Wire::RAFT_KIND_APPEND_REPLY, append.from());
+    reply.set_reject(true);
+    reply.set_round(append.round());
+    return reply;
+}
+
 void Raft::tryFinishTransfer()
 {
     const auto found = this->members.find(this->transferTarget);
--- a/Apricothead/src/State/Raft.h
+++ b/Apricothead/src/State/Raft.h
@@ -110,6 +110,14 @@
      * there is no target */
     bool transferLeadership(std::string member = {});
 
+    /** Gives up leadership without waiting for a transfer, for a leader that cannot write. Reads in progress fail.
+     * \returns a message that has the active voter with the longest log stand for election at once, if there is one */
+    std::optional<Wire::RaftMessage> resign();
+
+    /** \returns a reply to a leader's append that accepts none of its entries but confirms its round, for a replica that cannot write and so may
+     * accept no other input. Nothing when the append is not of the current term */
+    std::optional<Wire::RaftMessage> confirmRound(const Wire::RaftMessage &append) const;
+
     /** Starts an election without waiting for the timeout. Used by a group with a single voter. */
     void campaign();
 
