Retry budget: lost answers have a reserve, and a broken stream waits for room

A begun stream that may resume but finds the budget empty waits for room instead of ending; one whose answer has not begun still ends at once, since its caller can repeat it at no cost to the budget.

Tests that failed before: forwardrun/brokenStreamGoesOnAfterEscalationsUsedTheirPartOfTheBudget and brokenStreamWaitsForTheRetryBudget (both: isComplete false, the body ends after event 1).

--- a/Apricothead/src/Decisions/RetryWindow.cpp
+++ b/Apricothead/src/Decisions/RetryWindow.cpp
@@ -29,16 +29,17 @@
     this->pruned(service, nowMs).requests.push_back(nowMs);
 }
 
-double RetryWindow::remaining(const std::string &service, std::uint64_t nowMs)
+double RetryWindow::remaining(const std::string &service, std::uint64_t nowMs, RepeatCause cause)
 {
     const Counts &recent = this->pruned(service, nowMs);
     const double allowed = this->options.ratio * static_cast<double>(recent.requests.size()) + this->options.slack / this->gateways;
-    return this->options.usedFraction * allowed - static_cast<double>(recent.repeats.size());
+    const double fraction = cause == RepeatCause::LostAnswer ? this->options.lostFraction : this->options.usedFraction;
+    return fraction * allowed - static_cast<double>(recent.repeats.size());
 }
 
-bool RetryWindow::tryAcquire(const std::string &service, std::uint64_t nowMs)
+bool RetryWindow::tryAcquire(const std::string &service, std::uint64_t nowMs, RepeatCause cause)
 {
-    if (this->remaining(service, nowMs) < 1) {
+    if (this->remaining(service, nowMs, cause) < 1) {
         return false;
     }
     this->counts[service].repeats.push_back(nowMs);
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -583,8 +583,8 @@
              {"error", current.transportError},
              {"parts", promptText(this->request.prompt)}});
     this->context.metrics.count("attempts_ended_total", reason);
-    // An endpoint that could not be reached has received nothing, so the retry takes nothing from the budget.
-    const bool shouldRetry = this->canRetry(last) && (outcome == AttemptOutcome::Unreachable || this->context.retries.tryAcquire(this->service, this->now()));
+    const bool canRetry = this->canRetry(last);
+    const bool shouldRetry = canRetry && this->acquireRetry(outcome);
     const bool hasErrorResponse = outcome == AttemptOutcome::Failed && !this->isStreamStarted;
     const EndpointResponseHead head = current.head;
     std::string body = std::move(current.body);
@@ -593,6 +593,13 @@
         this->dispatch();
         return;
     }
+    if (canRetry && this->isStreamStarted && this->request.anyModel) {
+        // Requests of others make room in the budget within a fraction of a second, and a caller can't repeat a part of a stream.
+        this->isAwaitingBudget = true;
+        this->context.metrics.count("streams_awaiting_budget_total", this->route.name());
+        logLine(LogLevel::Info, "stream-awaits-budget", {{"request", this->request.id}, {"leftMs", this->remainingMs()}});
+        return;
+    }
     if (hasErrorResponse) {
         this->forwardResponse(head, std::move(body));
         return;
@@ -600,8 +607,30 @@
     this->failRequest(reason);
 }
 
+bool ForwardRun::acquireRetry(AttemptOutcome outcome)
+{
+    if (outcome == AttemptOutcome::Unreachable) {
+        // The endpoint has received nothing, so the retry takes nothing from the budget.
+        return true;
+    }
+    const bool isLost = this->request.anyModel && (this->isStreamStarted || outcome == AttemptOutcome::Incomplete);
+    return this->context.retries.tryAcquire(this->service, this->now(), isLost ? RepeatCause::LostAnswer : RepeatCause::Ordinary);
+}
+
+void ForwardRun::resumeWithinBudget()
+{
+    if (this->acquireRetry(AttemptOutcome::Incomplete)) {
+        this->isAwaitingBudget = false;
+        this->dispatch();
+    }
+}
+
 void ForwardRun::checkProgress()
 {
+    if (this->isAwaitingBudget) {
+        this->resumeWithinBudget();
+        return;
+    }
     const bool isRepeatable = this->route.repeat() == Wire::REPEAT_RULE_REPEATABLE || (this->isStreaming() && this->route.resumable());
     if (!this->attempt || !isRepeatable) {
         return;
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -100,6 +100,10 @@
     std::int64_t sinceAnswerMs() const;
 
     // Ending attempts and the request
+    /** \returns whether the retry budget allows another attempt after one that ended with \a outcome; if so, it is counted */
+    bool acquireRetry(AttemptOutcome outcome);
+    /** Resumes a stream that waits for the retry budget, as soon as that allows it. */
+    void resumeWithinBudget();
     /** Ends the current attempt after its connection was lost, which may be the request's own doing. */
     void failLost(const std::string &reason);
     /** Ends the current attempt and its accounting. All other functions end an attempt through this one. */
@@ -149,6 +153,8 @@
     unsigned sends = 0;
     Verdict verdict = Verdict::NotRun;
     bool isStreamStarted = false;
+    /** The stream broke off, and goes on at another endpoint when the retry budget allows it. */
+    bool isAwaitingBudget = false;
     std::string lastEventId;
     /** When the first event was sent to the caller; 0 before. */
     std::uint64_t firstEventMs = 0;
--- a/test/forwardrun.cpp
+++ b/test/forwardrun.cpp
@@ -364,6 +364,72 @@
     BOOST_TEST(endpoint.requests().size() == 2U);
 }
 
+namespace {
+
+ForwardRequest requestForAnyModel(const std::string &id)
+{
+    return {.id = id, .host = "host", .method = "GET", .target = "/", .path = "/", .model = "*", .anyModel = true};
+}
+
+/** Breaks off an answer of the small model after its first event; the others go on after the last event of the caller. */
+void breakAnswersOfTheSmallModel(ScriptedConnection &connection, const std::string &head)
+{
+    if (headerOf(head, "model") == "small" && headerOf(head, "after").empty()) {
+        connection.send(streamHead(head, "sure: 90\r\n") + chunk(event(1)));
+        std::this_thread::sleep_for(milliseconds(50));
+        connection.reset();
+        return;
+    }
+    connection.send(streamHead(head, "sure: 90\r\n") + chunk(event(2)) + LastChunk);
+}
+
+std::shared_ptr<const PlanIndex> planWithModels()
+{
+    Wire::ServicePlan plan = testPlan(Wire::REPEAT_RULE_STREAM, 3, 4000);
+    for (const char *model : {"small", "middle", "large"}) {
+        plan.mutable_routes(0)->add_models(model);
+    }
+    return std::make_shared<const PlanIndex>(plan);
+}
+
+} // namespace
+
+// Most answers of the smallest model are replaced, which takes all repeated arrivals that escalations may take. Then an endpoint breaks off.
+BOOST_AUTO_TEST_CASE(brokenStreamGoesOnAfterEscalationsUsedTheirPartOfTheBudget)
+{
+    ScriptedEndpoint endpoint(breakAnswersOfTheSmallModel);
+    GatewayFixture gateway(Wire::REPEAT_RULE_STREAM);
+    gateway.plan = planWithModels();
+    gateway.announce("one", endpoint.address());
+    gateway.announce("two", endpoint.address());
+    constexpr unsigned Requests = 40;
+    for (unsigned request = 0; request < Requests; ++request) {
+        gateway.context.retries.recordRequest("yard", gateway.loop.nowMs());
+    }
+    while (gateway.context.retries.tryAcquire("yard", gateway.loop.nowMs())) { }
+    const std::uint64_t startedMs = gateway.loop.nowMs();
+    const auto reply = gateway.ended(gateway.start(requestForAnyModel("r1")));
+    BOOST_TEST(reply->isComplete);
+    BOOST_TEST(reply->body == event(1) + event(2));
+    BOOST_TEST(gateway.loop.nowMs() - startedMs < 1000U);
+}
+
+// All connections of a gateway are reset at once: there are more broken streams than the budget has room for at this moment.
+BOOST_AUTO_TEST_CASE(brokenStreamWaitsForTheRetryBudget)
+{
+    ScriptedEndpoint endpoint(breakAnswersOfTheSmallModel);
+    GatewayFixture gateway(Wire::REPEAT_RULE_STREAM);
+    gateway.plan = planWithModels();
+    gateway.context.retries = RetryWindow({.ratio = 0, .windowMs = 600, .slack = 1.5});
+    gateway.context.retries.setGateways(1);
+    gateway.announce("one", endpoint.address());
+    gateway.announce("two", endpoint.address());
+    BOOST_TEST(gateway.context.retries.tryAcquire("yard", gateway.loop.nowMs()));
+    const auto reply = gateway.ended(gateway.start(requestForAnyModel("r1")));
+    BOOST_TEST(reply->isComplete);
+    BOOST_TEST(reply->body == event(1) + event(2));
+}
+
 BOOST_AUTO_TEST_CASE(eachRequestIsLoggedOnceWithItsCause)
 {
     ScriptedEndpoint endpoint([](ScriptedConnection &connection, const std::string &head) {
--- a/test/gatewayfixture.h
+++ b/test/gatewayfixture.h
@@ -80,9 +80,14 @@
 
     std::shared_ptr<RecordedReply> start(const std::string &id, std::string body = {})
     {
-        auto reply = std::make_shared<RecordedReply>();
         ForwardRequest request{.id = id, .host = "host", .method = body.empty() ? "GET" : "POST", .target = "/work", .path = "/work"};
         request.body = std::move(body);
+        return this->start(std::move(request));
+    }
+
+    std::shared_ptr<RecordedReply> start(ForwardRequest request)
+    {
+        auto reply = std::make_shared<RecordedReply>();
         this->runs.push_back(std::make_unique<ForwardRun>(this->context, std::move(request), reply, this->plan, &this->plan->plan().routes(0), nullptr));
         this->runs.back()->start();
         return reply;
--- a/test/serving.cpp
+++ b/test/serving.cpp
@@ -779,6 +779,27 @@
     BOOST_TEST(window.tryAcquire("pool", 11100));
 }
 
+BOOST_AUTO_TEST_CASE(lostAnswersHaveAReserveWithinTheSharedBound)
+{
+    constexpr unsigned Gateways = 4;
+    RetryWindow window({.ratio = 0.9, .windowMs = 10000, .slack = 56});
+    window.setGateways(Gateways);
+    for (unsigned request = 0; request < 100; ++request) {
+        window.recordRequest("pool", 1000);
+    }
+    unsigned escalations = 0;
+    while (window.tryAcquire("pool", 1000)) {
+        ++escalations;
+    }
+    unsigned lost = 0;
+    while (window.tryAcquire("pool", 1000, RepeatCause::LostAnswer)) {
+        ++lost;
+    }
+    BOOST_TEST(lost >= 10U);
+    BOOST_TEST(Gateways * (escalations + lost) <= 416U);
+    BOOST_TEST(!window.tryAcquire("pool", 1000));
+}
+
 BOOST_AUTO_TEST_CASE(lowConfidenceEscalatesOnlyWhenTheLargestModelIsInTime)
 {
     const ModelEscalation escalation;
