--- a/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
+++ b/Apricothead/src/Coordination/Replica/ServingPublisher.cpp
@@ -89,6 +89,7 @@
     }
     *update.mutable_serving()->mutable_rollouts() = state.rollouts();
     *update.mutable_serving()->mutable_suspects() = state.suspects();
+    *update.mutable_serving()->mutable_versions() = state.versions();
     update.mutable_serving()->set_number(state.number());
     if (gateway.planRevision < state.plan().revision()) {
         *update.mutable_serving()->mutable_plan() = state.plan();
--- a/Apricothead/src/Decisions/DirectEndpoints.cpp
+++ b/Apricothead/src/Decisions/DirectEndpoints.cpp
@@ -256,8 +256,7 @@
     }
 }
 
-DirectEndpoints::CandidateSet
-DirectEndpoints::findCandidates(const EndpointQuery &query, bool preferredVersions, bool includeEjected, std::uint64_t nowMs) const
+DirectEndpoints::CandidateSet DirectEndpoints::findCandidates(const EndpointQuery &query, VersionRank rank, bool includeEjected, std::uint64_t nowMs) const
 {
     CandidateSet candidateSet{.prefixHashes = hashPrefixes(query)};
     const auto versions = this->groups.find(query.service);
@@ -270,7 +269,7 @@
     bool isSampled = false;
     for (const auto &entry : versions->second) {
         const Group &group = entry.second;
-        if (query.versions.matches(entry.first) != preferredVersions) {
+        if (query.versions.rank(entry.first) != rank) {
             continue;
         }
         this->addSample(candidateSet, group, canTake);
@@ -285,7 +284,7 @@
         candidateSet.home = home ? group.members[*home] : candidateSet.home;
     }
     if (isSampled) {
-        this->addHolders(candidateSet, query, preferredVersions, canTake);
+        this->addHolders(candidateSet, query, rank, canTake);
     }
     for (const KnownEndpoint *endpoint : candidateSet.candidates) {
         candidateSet.maxCachedTokens = std::max(candidateSet.maxCachedTokens, cachedPrefixTokens(endpoint->cache, query, candidateSet.prefixHashes));
@@ -295,7 +294,7 @@
 
 void DirectEndpoints::addHolders(CandidateSet &candidateSet,
                                  const EndpointQuery &query,
-                                 bool preferredVersions,
+                                 VersionRank rank,
                                  const std::function<bool(const KnownEndpoint &)> &canTake) const
 {
     if (candidateSet.home != nullptr) {
@@ -311,7 +310,7 @@
         for (const KnownEndpoint *endpoint : held->second) {
             const Wire::EndpointAnnouncement &announcement = endpoint->announcement;
             const bool isOfService = DirectEndpoints::isReady(*endpoint) && announcement.service() == query.service;
-            if (added == MaxHolders || !isOfService || query.versions.matches(announcement.version()) != preferredVersions || !canTake(*endpoint)) {
+            if (added == MaxHolders || !isOfService || query.versions.rank(announcement.version()) != rank || !canTake(*endpoint)) {
                 continue;
             }
             candidateSet.candidates.push_back(endpoint);
@@ -350,21 +349,36 @@
     return scored;
 }
 
+bool DirectEndpoints::hasVersion(const EndpointQuery &query, VersionRank rank) const
+{
+    const auto versions = this->groups.find(query.service);
+    return versions != this->groups.end() && std::ranges::any_of(versions->second, [&query, rank](const auto &entry) {
+               return !entry.second.members.empty() && query.versions.rank(entry.first) == rank;
+           });
+}
+
 std::optional<EndpointChoice> DirectEndpoints::choose(const EndpointQuery &query, std::uint64_t nowMs) const
 {
     if (this->changedServices.erase(query.service) > 0) {
         this->rebuildGroups(query.service);
     }
-    CandidateSet candidateSet = this->findCandidates(query, true, false, nowMs);
+    CandidateSet candidateSet = this->findCandidates(query, VersionRank::Preferred, false, nowMs);
     std::string reason;
     if (candidateSet.candidates.empty()) {
-        candidateSet = this->findCandidates(query, true, true, nowMs);
+        candidateSet = this->findCandidates(query, VersionRank::Preferred, true, nowMs);
         reason = "last-resort";
     }
-    if (candidateSet.candidates.empty() && query.versions.isFallbackAllowed) {
-        candidateSet = this->findCandidates(query, false, false, nowMs);
+    const bool hasPreferred = !candidateSet.candidates.empty() || this->hasVersion(query, VersionRank::Preferred);
+    // Where only targets of earlier orders stand beside it, the version that was in force may have been ordered back.
+    const bool isOrderedBack = !hasPreferred && (this->hasVersion(query, VersionRank::Excluded) || this->hasVersion(query, VersionRank::Overtaken));
+    if (candidateSet.candidates.empty() && (query.versions.isFallbackAllowed || isOrderedBack)) {
+        candidateSet = this->findCandidates(query, VersionRank::Other, false, nowMs);
         reason = "other-version";
     }
+    if (candidateSet.candidates.empty() && !hasPreferred) {
+        candidateSet = this->findCandidates(query, VersionRank::Overtaken, false, nowMs);
+        reason = "overtaken-version";
+    }
     if (candidateSet.candidates.empty()) {
         return std::nullopt;
     }
--- a/Apricothead/src/Decisions/DirectEndpoints.h
+++ b/Apricothead/src/Decisions/DirectEndpoints.h
@@ -244,11 +244,12 @@
     void removeEndpoint(const std::string &endpoint);
     void rebuildGroups(const std::string &service) const;
     bool canTake(const KnownEndpoint &endpoint, const EndpointQuery &query, bool includeEjected, std::uint64_t nowMs) const;
-    CandidateSet findCandidates(const EndpointQuery &query, bool preferredVersions, bool includeEjected, std::uint64_t nowMs) const;
+    /** \returns whether a ready endpoint is of a version of that rank, even if it can't take the request now */
+    bool hasVersion(const EndpointQuery &query, VersionRank rank) const;
+    CandidateSet findCandidates(const EndpointQuery &query, VersionRank rank, bool includeEjected, std::uint64_t nowMs) const;
     std::size_t sampleSize(std::size_t members) const;
     void addSample(CandidateSet &candidateSet, const Group &group, const std::function<bool(const KnownEndpoint &)> &canTake) const;
-    void
-    addHolders(CandidateSet &candidateSet, const EndpointQuery &query, bool preferredVersions, const std::function<bool(const KnownEndpoint &)> &canTake) const;
+    void addHolders(CandidateSet &candidateSet, const EndpointQuery &query, VersionRank rank, const std::function<bool(const KnownEndpoint &)> &canTake) const;
     ScoredEndpoint score(const KnownEndpoint &endpoint, const EndpointQuery &query, const CandidateSet &candidateSet) const;
     double prefillMs(const std::string &model, std::uint64_t tokens) const;
     void eject(KnownEndpoint &endpoint, std::uint64_t nowMs) const;
--- a/Apricothead/src/Decisions/VersionSplit.cpp
+++ b/Apricothead/src/Decisions/VersionSplit.cpp
@@ -39,6 +39,11 @@
         }
     }
     this->firstShareMs = std::move(since);
+    this->pastTargets.clear();
+    for (const Wire::RememberedVersion &version : state.versions()) {
+        PastTargets &past = this->pastTargets[version.service()];
+        (version.verdict() == Wire::VERSION_VERDICT_WITHDRAWN ? past.withdrawn : past.overtaken).push_back(version.version());
+    }
 }
 
 VersionRule VersionSplit::rule(const std::string &service, const std::string &session, std::uint64_t draw, std::uint64_t nowMs)
@@ -48,7 +53,12 @@
         return {};
     }
     const Wire::ServiceRollout &rollout = found->second;
+    const auto past = this->pastTargets.find(service);
     VersionRule rule{.target = rollout.target()};
+    if (past != this->pastTargets.end()) {
+        rule.withdrawn = past->second.withdrawn;
+        rule.overtaken = past->second.overtaken;
+    }
     if (rollout.state() == Wire::SERVICE_ROLLOUT_STATE_ROLLED_BACK) {
         rule.isFallbackAllowed = false;
         return rule;
--- a/Apricothead/src/Decisions/VersionSplit.h
+++ b/Apricothead/src/Decisions/VersionSplit.h
@@ -2,6 +2,7 @@
 
 #include "../Protocol/Messages.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -11,6 +12,16 @@
 
 namespace Apricothead {
 
+/** How far a VersionRule prefers a version. */
+enum class VersionRank : std::uint8_t {
+    Preferred,
+    /** Allowed where the rule has a fallback. */
+    Other,
+    /** Allowed when no endpoint of a preferred version is there. */
+    Overtaken,
+    Excluded,
+};
+
 /** \class VersionRule
  * \ingroup Decisions_Module
  * \brief The versions of a service that a request can be sent to.
@@ -22,11 +33,29 @@
     bool wantsTarget = false;
     /** Whether versions that do not match are allowed when no endpoint of a matching one is available. */
     bool isFallbackAllowed = true;
+    /** Versions that were rolled back and not ordered again. They get no request, even when nothing else serves: what they are known to do to a
+     * request is worse than its refusal, which the caller may repeat. */
+    std::vector<std::string> withdrawn;
+    /** Versions whose roll-out another order replaced. They are neither the former version nor proven bad: they serve when nothing else is there. */
+    std::vector<std::string> overtaken;
+
+    /** \returns how far the rule prefers \a version */
+    VersionRank rank(const std::string &version) const
+    {
+        if (std::ranges::find(this->withdrawn, version) != this->withdrawn.end()) {
+            return VersionRank::Excluded;
+        }
+        if (std::ranges::find(this->overtaken, version) != this->overtaken.end()) {
+            return VersionRank::Overtaken;
+        }
+        const bool isPreferred = this->target.empty() || (version == this->target) == this->wantsTarget;
+        return isPreferred ? VersionRank::Preferred : VersionRank::Other;
+    }
 
     /** \returns whether the rule prefers \a version */
     bool matches(const std::string &version) const
     {
-        return this->target.empty() || (version == this->target) == this->wantsTarget;
+        return this->rank(version) == VersionRank::Preferred;
     }
 
     bool operator==(const VersionRule &) const = default;
@@ -71,12 +100,18 @@
         /** Requests that have not ended. */
         unsigned activeRequests = 0;
     };
+    /** The targets of earlier roll-outs of one service that get no ordinary requests. */
+    struct PastTargets {
+        std::vector<std::string> withdrawn;
+        std::vector<std::string> overtaken;
+    };
     bool isActive(const Pin &pin, std::uint64_t nowMs) const;
     bool isHeldElsewhere(const std::string &service, const std::string &session, std::uint64_t nowMs) const;
     void removeExpired(std::uint64_t nowMs);
 
     std::uint64_t sessionMs;
     std::map<std::string, Wire::ServiceRollout> rollouts;
+    std::map<std::string, PastTargets> pastTargets;
     /** When the target received its first share, by the order number of the roll-out. */
     std::map<std::uint64_t, std::uint64_t> firstShareMs;
     std::map<std::pair<std::string, std::string>, Pin> pins;
--- a/Apricothead/src/State/ServingTable.cpp
+++ b/Apricothead/src/State/ServingTable.cpp
@@ -8,6 +8,10 @@
 namespace Apricothead {
 namespace {
 
+/** Versions remembered of one service, and of all; the earliest are forgotten first. */
+constexpr int MaxVersionsOfService = 16;
+constexpr int MaxVersions = 256;
+
 Wire::CommandResult revisionResult(std::uint64_t revision)
 {
     Wire::CommandResult result;
@@ -56,6 +60,8 @@
     if (rollout == nullptr) {
         rollout = this->state.add_rollouts();
     }
+    this->rememberTarget(*rollout);
+    this->forgetVersion(order.service(), order.target());
     rollout->Clear();
     rollout->set_service(order.service());
     rollout->set_target(order.target());
@@ -67,6 +73,39 @@
     return revisionResult(this->state.plan().revision());
 }
 
+void ServingTable::rememberTarget(const Wire::ServiceRollout &rollout)
+{
+    const bool isReplaced = rollout.state() == Wire::SERVICE_ROLLOUT_STATE_ROLLED_BACK || rollout.state() == Wire::SERVICE_ROLLOUT_STATE_RUNNING;
+    if (!isReplaced) {
+        return;
+    }
+    this->forgetVersion(rollout.service(), rollout.target());
+    auto &versions = *this->state.mutable_versions();
+    const auto isOfService = [&rollout](const Wire::RememberedVersion &version) {
+        return version.service() == rollout.service();
+    };
+    if (std::count_if(versions.begin(), versions.end(), isOfService) >= MaxVersionsOfService) {
+        versions.erase(std::find_if(versions.begin(), versions.end(), isOfService));
+    } else if (versions.size() >= MaxVersions) {
+        versions.erase(versions.begin());
+    }
+    Wire::RememberedVersion &added = *versions.Add();
+    added.set_service(rollout.service());
+    added.set_version(rollout.target());
+    const bool isWithdrawn = rollout.state() == Wire::SERVICE_ROLLOUT_STATE_ROLLED_BACK;
+    added.set_verdict(isWithdrawn ? Wire::VERSION_VERDICT_WITHDRAWN : Wire::VERSION_VERDICT_OVERTAKEN);
+    added.set_order(rollout.order());
+}
+
+void ServingTable::forgetVersion(const std::string &service, const std::string &version)
+{
+    auto &versions = *this->state.mutable_versions();
+    const auto isForgotten = [&service, &version](const Wire::RememberedVersion &known) {
+        return known.service() == service && known.version() == version;
+    };
+    versions.erase(std::remove_if(versions.begin(), versions.end(), isForgotten), versions.end());
+}
+
 Wire::CommandResult ServingTable::setRollout(const Wire::SetServiceRollout &change, std::uint64_t index)
 {
     Wire::ServiceRollout *rollout = this->find(change.service());
--- a/Apricothead/src/State/ServingTable.h
+++ b/Apricothead/src/State/ServingTable.h
@@ -23,6 +23,7 @@
 
     /**
      * Starts a roll-out, or replaces the one of the same service. A roll-out to the target of the latest one changes nothing, whatever its state.
+     * The target of the one replaced is remembered unless it was completed: its endpoints may still be there, and are not those of the former version.
      * \returns the revision of the plan, or ERROR_CODE_NOT_FOUND for a service that is not in the plan
      */
     Wire::CommandResult startRollout(const Wire::StartServiceRollout &order, std::uint64_t index, std::int64_t timeMs);
@@ -43,6 +44,9 @@
 
 private:
     Wire::ServiceRollout *find(const std::string &service);
+    /** Remembers the target of a roll-out that is being replaced, with its verdict. */
+    void rememberTarget(const Wire::ServiceRollout &rollout);
+    void forgetVersion(const std::string &service, const std::string &version);
 
     Wire::ServingState state;
 };
--- a/test/directendpoints.cpp
+++ b/test/directendpoints.cpp
@@ -331,3 +331,24 @@
     BOOST_TEST(moved > 20U);
     BOOST_TEST(moved < 250U);
 }
+
+BOOST_AUTO_TEST_CASE(pastTargetsServeOnlyWhenNothingElseIsThere)
+{
+    DirectEndpoints endpoints;
+    EndpointQuery asked = query();
+    asked.versions = {.target = "v4", .wantsTarget = false, .isFallbackAllowed = false, .withdrawn = {"v2"}, .overtaken = {"v3"}};
+    endpoints.applyAnnouncement(endpoint("two", "v2"));
+    BOOST_TEST(!endpoints.choose(asked, 0).has_value());
+    endpoints.applyAnnouncement(endpoint("three", "v3"));
+    BOOST_TEST(endpoints.choose(asked, 0)->endpoint == "three");
+    // The version that was in force is ordered back: it is the only one beside those that were tried.
+    endpoints.applyAnnouncement(endpoint("four", "v4"));
+    BOOST_TEST(endpoints.choose(asked, 0)->endpoint == "four");
+    endpoints.applyAnnouncement(endpoint("one", "v1"));
+    BOOST_TEST(endpoints.choose(asked, 0)->endpoint == "one");
+    asked.avoid = {"one"};
+    const auto again = endpoints.choose(asked, 0);
+    BOOST_TEST((!again || again->endpoint == "one"));
+    asked.versions = {.target = "v4", .wantsTarget = true, .isFallbackAllowed = true, .withdrawn = {"v2"}, .overtaken = {"v3"}};
+    BOOST_TEST(endpoints.choose(asked, 0)->endpoint != "two");
+}
--- a/test/pinnedsessions.cpp
+++ b/test/pinnedsessions.cpp
@@ -2,6 +2,7 @@
 #include "main.h"
 
 #include <Apricothead/Decisions>
+#include <Apricothead/src/State/ServingTable.h>
 
 using namespace Apricothead;
 
@@ -40,8 +41,86 @@
     split.recordEnd("pool", session, atMs);
 }
 
+/** The replicated state and one gateway's view of it. */
+struct Orders {
+    Orders()
+    {
+        Wire::ServicePlan plan;
+        plan.set_revision(1);
+        plan.add_services()->set_name("pool");
+        this->table.putPlan(plan, ++this->index);
+    }
+
+    void order(const std::string &target)
+    {
+        Wire::StartServiceRollout order;
+        order.set_service("pool");
+        order.set_target(target);
+        order.set_duration_ms(20000);
+        this->table.startRollout(order, ++this->index, 1000);
+    }
+
+    void set(Wire::ServiceRolloutState state, unsigned sharePermille = 0)
+    {
+        Wire::SetServiceRollout change;
+        change.set_service("pool");
+        change.set_order(this->table.value().rollouts(0).order());
+        change.set_state(state);
+        change.set_share_permille(sharePermille);
+        this->table.setRollout(change, ++this->index);
+    }
+
+    /** \returns the rule for a request without a session */
+    VersionRule rule(std::uint64_t draw)
+    {
+        VersionSplit split(SessionMs);
+        split.setState(this->table.value(), 0);
+        return split.rule("pool", "", draw, 100);
+    }
+
+    ServingTable table;
+    std::uint64_t index = 0;
+};
+
 } // namespace
 
+BOOST_AUTO_TEST_CASE(withdrawnVersionGetsNoRequestsUnderTheNextOrder)
+{
+    Orders orders;
+    orders.order("v2");
+    orders.set(Wire::SERVICE_ROLLOUT_STATE_ROLLED_BACK);
+    orders.order("v3");
+    orders.set(Wire::SERVICE_ROLLOUT_STATE_RUNNING, 100);
+    BOOST_TEST(!orders.rule(0).matches("v2"));
+    BOOST_TEST(!orders.rule(999).matches("v2"));
+    BOOST_TEST(orders.rule(999).matches("v1"));
+    orders.set(Wire::SERVICE_ROLLOUT_STATE_ROLLED_BACK);
+    BOOST_TEST(orders.rule(999).matches("v1"));
+    BOOST_TEST(!orders.rule(0).matches("v2"));
+    BOOST_TEST(!orders.rule(0).matches("v3"));
+    orders.order("v4");
+    orders.set(Wire::SERVICE_ROLLOUT_STATE_RUNNING, 100);
+    orders.set(Wire::SERVICE_ROLLOUT_STATE_COMPLETED, 1000);
+    BOOST_TEST(!orders.rule(999).matches("v2"));
+    BOOST_TEST(!orders.rule(999).matches("v3"));
+    BOOST_TEST(orders.rule(999).matches("v4"));
+}
+
+BOOST_AUTO_TEST_CASE(overtakenTargetIsNotTakenForTheFormerVersion)
+{
+    Orders orders;
+    orders.order("v2");
+    orders.set(Wire::SERVICE_ROLLOUT_STATE_RUNNING, 100);
+    orders.order("v3");
+    BOOST_TEST(!orders.rule(999).matches("v2"));
+    BOOST_TEST(orders.rule(999).matches("v1"));
+    // Ordered again, it is the target like any other.
+    orders.order("v2");
+    orders.set(Wire::SERVICE_ROLLOUT_STATE_RUNNING, 100);
+    BOOST_TEST(orders.rule(0).matches("v2"));
+    BOOST_TEST(!orders.rule(999).matches("v3"));
+}
+
 BOOST_AUTO_TEST_CASE(sessionThatMovesToAnotherGatewayStaysOnItsVersion)
 {
     VersionSplit one(SessionMs);
--- a/test/statemachine.cpp
+++ b/test/statemachine.cpp
@@ -328,3 +328,52 @@
     BOOST_REQUIRE(this->machine.serving().suspects_size() == 1);
     BOOST_TEST(this->machine.serving().suspects(0).crash_count() == 1U);
 }
+
+namespace {
+
+Wire::Command orderRollout(const std::string &target)
+{
+    Wire::Command command;
+    Wire::StartServiceRollout &order = *command.mutable_start_service_rollout();
+    order.set_service("pool");
+    order.set_target(target);
+    order.set_duration_ms(20000);
+    return command;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(targetsOfEarlierRolloutsOutlastASnapshot, StateMachineFixture)
+{
+    Wire::Command plan;
+    plan.mutable_put_plan()->set_revision(1);
+    plan.mutable_put_plan()->add_services()->set_name("pool");
+    this->apply(plan);
+    this->apply(orderRollout("v2"));
+    Wire::Command end;
+    end.mutable_set_service_rollout()->set_service("pool");
+    end.mutable_set_service_rollout()->set_order(this->index);
+    end.mutable_set_service_rollout()->set_state(Wire::SERVICE_ROLLOUT_STATE_ROLLED_BACK);
+    this->apply(end);
+    // What a snapshot of a former release holds: the latest roll-out alone.
+    BOOST_TEST(this->machine.serving().versions_size() == 0);
+    BOOST_TEST(this->machine.restore(this->machine.snapshot()));
+    this->apply(orderRollout("v3"));
+    this->apply(orderRollout("v4"));
+    BOOST_TEST(this->machine.restore(this->machine.snapshot()));
+    const auto &versions = this->machine.serving().versions();
+    BOOST_REQUIRE(versions.size() == 2);
+    BOOST_TEST(versions[0].version() == "v2");
+    BOOST_TEST(versions[0].verdict() == Wire::VERSION_VERDICT_WITHDRAWN);
+    BOOST_TEST(versions[1].version() == "v3");
+    BOOST_TEST(versions[1].verdict() == Wire::VERSION_VERDICT_OVERTAKEN);
+    this->apply(orderRollout("v2"));
+    BOOST_REQUIRE(this->machine.serving().versions_size() == 2);
+    BOOST_TEST(this->machine.serving().versions(0).version() == "v3");
+    BOOST_TEST(this->machine.serving().versions(1).version() == "v4");
+    for (unsigned number = 5; number < 60; ++number) {
+        this->apply(orderRollout("v" + std::to_string(number)));
+    }
+    BOOST_REQUIRE(this->machine.serving().versions_size() == 16);
+    BOOST_TEST(this->machine.serving().versions(15).version() == "v58");
+}
