Clients that misbehave no longer end or block a gateway: one budget of bytes, and streams as fast as their callers

Cause: each bound was a count or a size of one client; nothing bounded their sum.

Change: ByteBudget (a third of memoryMb) charged by HttpServer; a body without room closes who holds most for longest without progress, or is answered with 503 before anything ran; bounds on the time of a head and on the progress of a body, shorter when places are scarce; attempts share one body; ForwardRun pauses its endpoint beyond 256 KB unsent; small bodies at ready and metrics; a gateway that stops waits for answers still being sent, within its grace (this last part has no test yet).

--- a/Apricothead/src/Coordination/Shared/MetricsServer.cpp
+++ b/Apricothead/src/Coordination/Shared/MetricsServer.cpp
@@ -7,6 +7,7 @@
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned MaxConnections = 16;
+constexpr std::size_t MaxBodyBytes = 4096;
 
 } // namespace
 
@@ -15,6 +16,7 @@
     this->server = std::make_unique<HttpServer>(loop,
                                                 HttpServerOptions{
                                                     .address = address,
+                                                    .maxBodyBytes = MaxBodyBytes,
                                                     .maxConnections = MaxConnections,
                                                     .onRequest =
                                                         [read = std::move(read)](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -2,6 +2,7 @@
 
 #include "RequestParts.h"
 
+#include "../Transport/ByteBudget.h"
 #include "../Transport/Log.h"
 
 #include <xxhash.h>
@@ -41,6 +42,9 @@
 constexpr std::uint64_t MaxRetryAfterMs = 1500;
 /** An endpoint that crashes under a request does so within this time after it began to answer. */
 constexpr std::uint64_t AnswerSettlingMs = 150;
+/** Bytes of a stream that wait for a caller before its endpoint is slowed, and while the memory of the process is scarce. */
+constexpr std::size_t MaxUnsentBytes = 256 * 1024;
+constexpr std::size_t MaxScarceUnsentBytes = 16 * 1024;
 /** Retry-After of a request that is withheld until an operator clears it. */
 constexpr std::uint64_t WithheldRetryAfterMs = 60'000;
 
@@ -111,6 +115,7 @@
     this->lastEventId = this->request.lastEventId;
     this->model = this->request.anyModel ? ModelEscalation::first(this->route) : this->request.model;
     this->suspect = suspectRequest(this->request);
+    this->body = std::make_shared<const std::string>(std::move(this->request.body));
     const std::string &drawKey = this->request.session.empty() ? this->request.id : this->request.session;
     this->draw = uniformHash(drawKey);
     this->service = PlanIndex::serviceFor(this->route, XXH3_64bits_withSeed(this->request.id.data(), this->request.id.size(), 1));
@@ -120,6 +125,11 @@
             this->handleDisconnect();
         }
     });
+    this->reply->onDrained([this, token = this->alive] {
+        if (*token) {
+            this->resumeForCaller();
+        }
+    });
     this->deadlineTimer.startOnce(milliseconds(this->deadlineMs - nowMs));
     this->context.progressChecks.add(this, [this] {
         this->checkProgress();
@@ -241,7 +251,7 @@
         .method = this->request.method,
         .url = "http://" + choice.address + this->request.target,
         .headers = this->context.dialect.encode(this->request, parameters),
-        .body = this->request.body,
+        .sharedBody = this->body,
         .connectTimeout = std::min(ConnectTimeout, milliseconds(std::max<std::uint64_t>(1, this->remainingMs()))),
         .keepConnection = true,
         .unacknowledged = UnacknowledgedTimeout,
@@ -424,12 +434,33 @@
         this->lastEventId = event.id;
     }
     this->reply->write(event.bytes);
+    this->pauseForCaller();
     if (!this->isAwaitingAnswer()) {
         this->settleAnswer();
     }
     return true;
 }
 
+void ForwardRun::pauseForCaller()
+{
+    const std::size_t bound = ByteBudget::process().isScarce() ? MaxScarceUnsentBytes : MaxUnsentBytes;
+    if (this->attempt->isPaused || this->reply->queuedBytes() <= bound) {
+        return;
+    }
+    this->attempt->isPaused = true;
+    this->attempt->call->pause();
+    this->context.metrics.count("streams_paused_total", this->route.name());
+}
+
+void ForwardRun::resumeForCaller()
+{
+    if (this->isEnded || !this->attempt || !std::exchange(this->attempt->isPaused, false)) {
+        return;
+    }
+    this->attempt->lastReceivedMs = this->now();
+    this->attempt->call->resume();
+}
+
 bool ForwardRun::isAwaitingAnswer() const
 {
     const Attempt &current = *this->attempt;
@@ -603,7 +634,8 @@
 void ForwardRun::checkProgress()
 {
     const bool isRepeatable = this->route.repeat() == Wire::REPEAT_RULE_REPEATABLE || (this->isStreaming() && this->route.resumable());
-    if (!this->attempt || !isRepeatable) {
+    // A paused endpoint waits for the caller.
+    if (!this->attempt || !isRepeatable || this->attempt->isPaused) {
         return;
     }
     const std::uint64_t nowMs = this->now();
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -59,6 +59,8 @@
         std::uint64_t answeredMs = 0;
         /** The answer has gone on for long enough to show that it does not crash its endpoint. */
         bool isSettled = false;
+        /** The endpoint is not read from until the caller has taken what waits for it. */
+        bool isPaused = false;
         /** The transport's description of the end; empty while the attempt runs and when the answer was whole. */
         std::string transportError;
         /** When the head, bytes of a plain answer or a whole event of a stream last arrived. */
@@ -86,6 +88,9 @@
     void handleData(std::string_view bytes);
     void forwardEvents();
     bool forwardEvent(const StreamEvent &event);
+    /** Slows the endpoint down while its caller reads more slowly: what waits for the caller is bounded. */
+    void pauseForCaller();
+    void resumeForCaller();
     void handleDone(const HttpResult &result);
     void recordAnswer(bool failed);
     /** Records that the answer of the current attempt went on, which clears the parts of the request. */
@@ -124,6 +129,8 @@
 
     GatewayContext &context;
     ForwardRequest request;
+    /** The request's body, moved out of it: all attempts share it. */
+    std::shared_ptr<const std::string> body;
     std::shared_ptr<HttpReply> reply;
     std::shared_ptr<const PlanIndex> plan;
     const Wire::PlanRoute &route;
--- a/Apricothead/src/Gateway/GatewayTask.cpp
+++ b/Apricothead/src/Gateway/GatewayTask.cpp
@@ -6,6 +6,7 @@
 
 #include "../Coordination/Shared/MetricsServer.h"
 #include "../Decisions/OutagePolicy.h"
+#include "../Transport/ByteBudget.h"
 #include "../Transport/Log.h"
 #include "../Transport/Timer.h"
 
@@ -43,6 +44,8 @@
 constexpr std::chrono::seconds CallerIdleTimeout{60};
 constexpr unsigned MaxCallerConnections = 1000;
 constexpr unsigned MaxReadyConnections = 32;
+/** A probe has no body. */
+constexpr std::size_t MaxReadyBodyBytes = 4096;
 /** Assumed for a caller that states no deadline. */
 constexpr std::uint64_t DefaultCallerTimeoutMs = 1000;
 constexpr double MsPerSecond = 1000;
@@ -241,6 +244,7 @@
     this->readyServer = std::make_unique<HttpServer>(this->context.loop,
                                                      HttpServerOptions{
                                                          .address = gateway.readyAddress,
+                                                         .maxBodyBytes = MaxReadyBodyBytes,
                                                          .maxConnections = MaxReadyConnections,
                                                          .onRequest =
                                                              [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
@@ -270,6 +274,11 @@
     gauge("parts_suspect", {}, static_cast<double>(this->context.quarantine.suspectCount()));
     gauge("parts_withheld", {}, static_cast<double>(this->context.quarantine.withheldCount()));
     gauge("log_lines_dropped_total", {}, static_cast<double>(droppedLogLines()));
+    gauge("client_bytes_held", {}, static_cast<double>(ByteBudget::process().used()));
+    gauge("client_connections", {}, static_cast<double>(this->server->openConnections()));
+    for (const auto &[why, count] : this->server->closings()) {
+        gauge("connections_closed_total", why, static_cast<double>(count));
+    }
     for (int index = 0; plan && index < plan->plan().services_size(); ++index) {
         const std::string &service = plan->plan().services(index).name();
         gauge("endpoints_ready", service, static_cast<double>(this->context.endpoints.readyCount(service)));
@@ -414,11 +423,13 @@
     this->server->stopListening();
     const auto grace = static_cast<std::uint64_t>(this->settings.gateway->grace.count());
     const bool isGraceOver = stoppingForMs + ShutdownMarginMs >= grace;
-    if (!this->runs.empty() && !isGraceOver) {
+    // A caller that reads slowly is still being sent the answer of a run that has ended.
+    const std::size_t unsentAnswers = this->server->openRequests();
+    if ((!this->runs.empty() || unsentAnswers > 0) && !isGraceOver) {
         return;
     }
     this->shutdownTimer.stop();
-    logLine(LogLevel::Info, "gateway-stopped", {{"cut", static_cast<std::uint64_t>(this->runs.size())}});
+    logLine(LogLevel::Info, "gateway-stopped", {{"cut", static_cast<std::uint64_t>(std::max(this->runs.size(), unsentAnswers))}});
     std::exchange(this->stopped, nullptr)();
 }
 
--- a/Apricothead/src/Protocol/Settings.h
+++ b/Apricothead/src/Protocol/Settings.h
@@ -184,6 +184,8 @@
     std::optional<ReplicaSettings> replica;
     std::optional<GatewaySettings> gateway;
     std::optional<ControlSettings> control;
+    /** Memory that the process may use, in MB. Connections may hold a third of it. */
+    unsigned memoryMb = 768;
 
     bool operator==(const Settings &) const = default;
 };
--- a/Apricothead/src/Protocol/SettingsReader.cpp
+++ b/Apricothead/src/Protocol/SettingsReader.cpp
@@ -228,6 +228,7 @@
     if (document.contains("control")) {
         settings.control = ControlSettings{.address = document.at("control").at("address")};
     }
+    readValue(document, "memoryMb", settings.memoryMb);
     if (document.contains("seedPort")) {
         settings.seeds = withPort(settings.seeds, document.at("seedPort").get<unsigned>());
     }
--- a/Apricothead/src/Transport/HttpClient.h
+++ b/Apricothead/src/Transport/HttpClient.h
@@ -37,6 +37,8 @@
     std::string url;
     HttpHeaders headers;
     std::string body;
+    /** Sent in place of \c body when set: attempts at one request share it. */
+    std::shared_ptr<const std::string> sharedBody;
     std::chrono::milliseconds connectTimeout{2000};
     /** No byte received for this long ends the call; zero means no bound. */
     std::chrono::milliseconds silence{0};
--- a/Apricothead/src/Transport/HttpExchange.cpp
+++ b/Apricothead/src/Transport/HttpExchange.cpp
@@ -39,6 +39,7 @@
     }
     this->answer = Answer{.status = status, .headers = headers, .streamed = false};
     this->pending = std::move(body);
+    this->heldAnswer.set(this->pending.size());
     this->isFinished = true;
     this->resume();
 }
@@ -58,6 +59,7 @@
         return;
     }
     this->pending.append(bytes);
+    this->heldAnswer.set(this->pending.size());
     this->resume();
 }
 
@@ -70,6 +72,12 @@
 void HttpExchange::abort()
 {
     this->isAborted = true;
+    if (this->answer && this->answer->streamed) {
+        // Nobody gets them, and a caller that takes nothing would keep them until its connection times out.
+        std::string().swap(this->pending);
+        this->consumed = 0;
+        this->heldAnswer.set(0);
+    }
     this->resume();
 }
 
@@ -167,7 +175,8 @@
     this->isAnswerQueued = true;
     MHD_Response *response = this->makeResponse();
     if (!this->answer->streamed) {
-        this->consumed = this->pending.size();
+        // libmicrohttpd has its own copy, which stays charged.
+        std::string().swap(this->pending);
     }
     for (const auto &[name, value] : this->answer->headers) {
         MHD_add_response_header(response, name.c_str(), value.c_str());
@@ -206,6 +215,7 @@
         this->pending.erase(0, this->consumed);
         this->consumed = 0;
     }
+    this->heldAnswer.set(this->pending.size());
     return static_cast<long>(taken);
 }
 
@@ -214,6 +224,8 @@
     this->socketWatcher.stop();
     this->connection = nullptr;
     this->isSuspended = false;
+    this->heldBody.set(0);
+    this->heldAnswer.set(0);
     if (!whole || !this->isFinished) {
         this->disconnected();
         return;
--- a/Apricothead/src/Transport/HttpExchange.h
+++ b/Apricothead/src/Transport/HttpExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ByteBudget.h"
 #include "HttpServer.h"
 
 #include <functional>
@@ -65,8 +66,15 @@
 
     HttpRequest request;
     bool isServed = false;
-    bool isOversized = false;
+    /** Status of the refusal that the request gets once it is whole; 0: none. Its body is dropped meanwhile. */
+    unsigned refusal = 0;
     std::size_t droppedBytes = 0;
+    std::uint64_t startedMs = 0;
+    /** When the head was whole, or the body last grown by a KB. */
+    std::uint64_t progressMs = 0;
+    std::size_t progressBytes = 0;
+    /** Body of the request, as long as it may be repeated. */
+    ByteCharge heldBody;
 
 private:
     struct Answer {
@@ -86,6 +94,7 @@
     std::optional<Answer> answer;
     std::string pending;
     std::size_t consumed = 0;
+    ByteCharge heldAnswer;
     bool isSuspended = false;
     bool isAnswerQueued = false;
     bool isFinished = false;
--- a/Apricothead/src/Transport/HttpServer.cpp
+++ b/Apricothead/src/Transport/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "EventLoop.h"
 #include "HttpExchange.h"
+#include "Log.h"
 #include "Timer.h"
 
 #include <microhttpd.h>
@@ -29,7 +30,18 @@
 constexpr int WholeRequestIdleTimes = 2;
 /** From this fraction of the connection limit on, each answer closes its connection. */
 constexpr double MaxPersistentFraction = 0.75;
+/** A body that holds less than this is never refused for lack of memory. */
+constexpr std::size_t BodyFloorBytes = 8 * 1024;
+/** Growth of a body that counts as progress: a byte now and then does not. */
+constexpr std::size_t ProgressBytes = 1024;
+/** While memory or places are scarce, who has made no progress for this long is closed. */
+constexpr std::uint64_t ScarceProgressMs = 3000;
+/** While places are scarce, a connection that waits for its next request is closed after this time. */
+constexpr std::uint64_t ScarceKeptMs = 15'000;
+/** From this fraction of the connection limit on, places are scarce. */
+constexpr double ScarceConnectionsFraction = 0.9;
 constexpr unsigned PayloadTooLarge = 413;
+constexpr unsigned Unavailable = 503;
 constexpr unsigned HeadersTooLarge = 431;
 
 sockaddr_in parseAddress(const std::string &address)
@@ -70,6 +82,7 @@
     Private(EventLoop &eventLoop, HttpServerOptions serverOptions)
         : loop(eventLoop), options(std::move(serverOptions)), epoll(eventLoop.native()), timeout(eventLoop.native()), readCheck(eventLoop, [this] {
             this->closeSlowSenders();
+            this->closeCrowd();
         })
     {
         this->epoll.set<Private, &Private::onEpoll>(this);
@@ -158,7 +171,14 @@
         auto *server = static_cast<Private *>(self);
         if (code == MHD_CONNECTION_NOTIFY_STARTED) {
             server->readingSince[connection] = server->loop.nowMs();
+            server->freshConnections.insert(connection);
         } else {
+            server->freshConnections.erase(connection);
+            server->closing.erase(connection);
+            if (server->arePlacesScarce()) {
+                // libmicrohttpd accepts again only when it runs once more.
+                server->wake();
+            }
             server->readingSince.erase(connection);
         }
     }
@@ -177,6 +197,7 @@
         const std::size_t mark = std::min(uri.find('?'), uri.size());
         exchange->request.path = uri.substr(0, mark);
         exchange->request.query = uri.substr(std::min(mark + 1, uri.size()));
+        exchange->startedMs = this->loop.nowMs();
         this->exchanges[exchange.get()] = exchange;
         return exchange.get();
     }
@@ -202,8 +223,8 @@
             }
             return MHD_NO;
         }
-        if (exchange->isOversized) {
-            return this->refuse(*exchange, PayloadTooLarge);
+        if (exchange->refusal != 0) {
+            return this->refuse(*exchange, exchange->refusal);
         }
         this->serve(connection, exchange);
         return MHD_YES;
@@ -211,6 +232,7 @@
 
     MHD_Result beginRequest(MHD_Connection *connection, detail::HttpExchange &exchange)
     {
+        exchange.progressMs = this->loop.nowMs();
         MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &exchange.request.headers);
         const MHD_ConnectionInfo *size = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
         if (size != nullptr && size->header_size > this->options.maxHeaderBytes) {
@@ -237,16 +259,88 @@
     bool takeBody(detail::HttpExchange &exchange, std::string_view upload)
     {
         std::string &body = exchange.request.body;
-        if (!exchange.isOversized && body.size() + upload.size() <= this->options.maxBodyBytes) {
+        const std::size_t size = body.size() + upload.size();
+        if (exchange.refusal == 0 && size > this->options.maxBodyBytes) {
+            this->dropBody(exchange, PayloadTooLarge);
+        } else if (exchange.refusal == 0 && !this->holdBody(exchange, size)) {
+            this->recordClosing("body-refused", exchange);
+            this->dropBody(exchange, Unavailable);
+        }
+        if (size >= exchange.progressBytes + ProgressBytes) {
+            exchange.progressBytes = size;
+            exchange.progressMs = this->loop.nowMs();
+        }
+        if (exchange.refusal == 0) {
             body.append(upload);
             return true;
         }
-        exchange.isOversized = true;
-        body.clear();
         exchange.droppedBytes += upload.size();
         return exchange.droppedBytes <= OversizeFactor * this->options.maxBodyBytes;
     }
 
+    /** \returns whether the budget of the process has room for a body of \a bytes, if need be that of a stalled one */
+    bool holdBody(detail::HttpExchange &exchange, std::size_t bytes)
+    {
+        if (bytes <= BodyFloorBytes) {
+            exchange.heldBody.set(bytes);
+            return true;
+        }
+        while (!exchange.heldBody.tryGrow(bytes)) {
+            if (!this->closeWorstHolder(exchange)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Drops what has arrived of the body, and what follows, so that the caller gets to see the refusal. */
+    void dropBody(detail::HttpExchange &exchange, unsigned status)
+    {
+        exchange.refusal = status;
+        std::string().swap(exchange.request.body);
+        exchange.heldBody.set(0);
+    }
+
+    /** Closes the connection whose body holds most for longest without progress. \returns false when all make progress */
+    bool closeWorstHolder(const detail::HttpExchange &asking)
+    {
+        const std::uint64_t now = this->loop.nowMs();
+        const auto burden = [now](const detail::HttpExchange &held) {
+            const std::uint64_t stalledMs = now - std::min(now, held.progressMs);
+            return held.isServed || stalledMs < ScarceProgressMs ? 0 : held.heldBody.bytes() * stalledMs;
+        };
+        detail::HttpExchange *worst = nullptr;
+        for (const auto &[key, exchange] : this->exchanges) {
+            const bool isWorse = exchange.get() != &asking && burden(*exchange) > (worst == nullptr ? 0 : burden(*worst));
+            worst = isWorse ? exchange.get() : worst;
+        }
+        if (worst == nullptr) {
+            return false;
+        }
+        this->recordClosing("memory-scarce", *worst);
+        this->dropBody(*worst, Unavailable);
+        Private::shutDown(worst->nativeConnection());
+        return true;
+    }
+
+    void recordClosing(const std::string &why, const detail::HttpExchange &exchange)
+    {
+        this->recordClosing(why, exchange.heldBody.bytes(), this->loop.nowMs() - exchange.startedMs);
+    }
+
+    void recordClosing(const std::string &why, std::size_t heldBytes, std::uint64_t ageMs)
+    {
+        ++this->closings[why];
+        logLine(LogLevel::Warning,
+                "connection-closed",
+                {{"listener", this->boundAddress},
+                 {"why", why},
+                 {"heldBytes", static_cast<std::uint64_t>(heldBytes)},
+                 {"ageMs", ageMs},
+                 {"usedBytes", static_cast<std::uint64_t>(ByteBudget::process().used())},
+                 {"connections", static_cast<std::uint64_t>(this->openConnections())}});
+    }
+
     MHD_Result refuse(detail::HttpExchange &exchange, unsigned status)
     {
         const std::string body = this->options.errorBody ? this->options.errorBody(status) : std::string();
@@ -260,6 +354,7 @@
     void serve(MHD_Connection *connection, const std::shared_ptr<detail::HttpExchange> &exchange)
     {
         this->readingSince.erase(connection);
+        this->freshConnections.erase(connection);
         if (this->isQuiesced || this->closesAfterAnswers || this->isNearlyFull()) {
             exchange->closeAfterAnswer();
         }
@@ -331,6 +426,50 @@
         }
     }
 
+    /** A head that does not end and a body that does not grow cost memory and a place, and no sound caller needs that long for either. */
+    void closeCrowd()
+    {
+        const std::uint64_t now = this->loop.nowMs();
+        const auto boundMs = static_cast<std::uint64_t>(std::chrono::milliseconds(this->options.progressTimeout).count());
+        std::set<const MHD_Connection *> begun;
+        for (const auto &[key, exchange] : this->exchanges) {
+            begun.insert(exchange->nativeConnection());
+            const bool hasHead = !exchange->request.method.empty();
+            const std::uint64_t lastMs = hasHead ? exchange->progressMs : exchange->startedMs;
+            const bool isStalled = now - lastMs > (this->arePlacesScarce() ? ScarceProgressMs : boundMs);
+            // A process that was held up finds late what arrived meanwhile.
+            const bool isStopped = isStalled && !exchange->isServed && (Private::readyEvents(exchange->nativeConnection(), POLLIN) & POLLIN) == 0;
+            if (!isStopped || !this->closing.insert(exchange->nativeConnection()).second) {
+                continue;
+            }
+            this->recordClosing(hasHead ? "slow-body" : "slow-head", *exchange);
+            Private::shutDown(exchange->nativeConnection());
+        }
+        this->closeIdleCrowd(begun);
+    }
+
+    void closeIdleCrowd(const std::set<const MHD_Connection *> &begun)
+    {
+        if (!this->arePlacesScarce()) {
+            return;
+        }
+        const std::uint64_t now = this->loop.nowMs();
+        for (const auto &[connection, since] : this->readingSince) {
+            const std::uint64_t boundMs = this->freshConnections.contains(connection) ? ScarceProgressMs : ScarceKeptMs;
+            const bool isIdle = !begun.contains(connection) && now - since > boundMs && (Private::readyEvents(connection, POLLIN) & POLLIN) == 0;
+            if (!isIdle || !this->closing.insert(connection).second) {
+                continue;
+            }
+            this->recordClosing("idle", 0, now - since);
+            Private::shutDown(connection);
+        }
+    }
+
+    bool arePlacesScarce() const
+    {
+        return static_cast<double>(this->openConnections()) >= ScarceConnectionsFraction * this->options.maxConnections;
+    }
+
     void closeIdle(std::uint64_t idleMs)
     {
         std::set<const MHD_Connection *> busy;
@@ -415,6 +554,11 @@
     std::unordered_map<void *, std::shared_ptr<detail::HttpExchange>> exchanges;
     /** Connections without a whole request, and since when. */
     std::unordered_map<MHD_Connection *, std::uint64_t> readingSince;
+    /** Connections that have not had a whole request yet. */
+    std::set<const MHD_Connection *> freshConnections;
+    /** Connections that were shut down and that libmicrohttpd has not closed yet. */
+    std::set<const MHD_Connection *> closing;
+    std::map<std::string, std::uint64_t> closings;
     std::vector<std::function<void()>> deferred;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     bool isRunning = false;
@@ -463,6 +607,11 @@
     }));
 }
 
+const std::map<std::string, std::uint64_t> &HttpServer::closings() const
+{
+    return this->d->closings;
+}
+
 std::string HttpServer::boundAddress() const
 {
     return this->d->boundAddress;
--- a/Apricothead/src/Transport/HttpServer.h
+++ b/Apricothead/src/Transport/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -76,6 +77,8 @@
     unsigned maxConnections = 1024;
     /** A connection that neither sends nor takes a byte for this long, without a request being served, is closed. */
     std::chrono::seconds idleTimeout{30};
+    /** A head that is not whole after this time closes its connection, and so does a body of which less than a KB arrives in this time. */
+    std::chrono::seconds progressTimeout{20};
     /** Called for each whole request, on the loop's thread. */
     std::function<void(HttpRequest, std::shared_ptr<HttpReply>)> onRequest;
     /** Called instead of onRequest when the caller had closed its side by the time its request was read; may be empty. */
@@ -110,6 +113,8 @@
     std::size_t openConnections() const;
     /** \returns requests that were handed to onRequest and whose answers are not sent whole yet */
     std::size_t openRequests() const;
+    /** \returns how often this server refused a body or closed a connection to protect the process, by reason */
+    const std::map<std::string, std::uint64_t> &closings() const;
     std::string boundAddress() const;
 
 private:
--- a/Apricothead/src/Transport/HttpTransfer.cpp
+++ b/Apricothead/src/Transport/HttpTransfer.cpp
@@ -116,10 +116,11 @@
         curl_easy_setopt(this->easy, CURLOPT_NOBODY, 1L);
         return;
     }
-    if (method != "GET" || !this->options.body.empty()) {
+    const std::string &body = this->options.sharedBody ? *this->options.sharedBody : this->options.body;
+    if (method != "GET" || !body.empty()) {
         curl_easy_setopt(this->easy, CURLOPT_POST, 1L);
-        curl_easy_setopt(this->easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(this->options.body.size()));
-        curl_easy_setopt(this->easy, CURLOPT_POSTFIELDS, this->options.body.data());
+        curl_easy_setopt(this->easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
+        curl_easy_setopt(this->easy, CURLOPT_POSTFIELDS, body.data());
     }
     curl_easy_setopt(this->easy, CURLOPT_CUSTOMREQUEST, method.c_str());
 }
--- a/app/ServeCommand.cpp
+++ b/app/ServeCommand.cpp
@@ -235,6 +235,7 @@
     }
     startLog(settings.value().process, levelFromName(settings.value().logLevel));
     logMessageErrors();
+    ByteBudget::process().setMemory(settings.value().memoryMb);
     return Server(settings.value(), line.settings).run();
 }
 
