--- a/Apricothead/src/Protocol/SettingsReader.cpp
+++ b/Apricothead/src/Protocol/SettingsReader.cpp
@@ -232,6 +232,7 @@
         settings.control = ControlSettings{.address = document.at("control").at("address")};
         readValue(document.at("control"), "zones", settings.control->zones);
     }
+    readValue(document, "memoryMb", settings.memoryMb);
     if (document.contains("seedPort")) {
         settings.seeds = withPort(settings.seeds, document.at("seedPort").get<unsigned>());
     }
