--- a/test/serving.cpp
+++ b/test/serving.cpp
@@ -667,6 +667,152 @@
     BOOST_TEST(falselyRolledBack == 0U);
 }
 
+namespace {
+
+/** Gateways that send streams, a part of them to the new version, whose endpoints carry less load; callers' deadlines cut the slowest. */
+struct StreamReplay {
+    /** Between two requests. */
+    static constexpr std::uint64_t IntervalMs = 15;
+
+    StreamReplay(std::uint64_t seed, std::size_t gatewayCount, double slowShare) : random(seed), slow(slowShare), gateways(gatewayCount)
+    {
+        google::protobuf::RepeatedPtrField<Wire::ServiceRollout> rollouts;
+        *rollouts.Add() = runningRollout(100);
+        for (VersionCounts &gateway : this->gateways) {
+            gateway.setRollouts(rollouts);
+        }
+    }
+
+    void start(std::uint64_t nowMs)
+    {
+        const std::size_t gateway = this->random() % this->gateways.size();
+        const bool isTarget = this->draw() * 1000 < this->rollout.share_permille();
+        this->targetRequests += isTarget ? 1 : 0;
+        const double busyMs = isTarget ? 18 : 30;
+        const double gapMs = busyMs * std::exp(0.35 * std::normal_distribution<double>()(this->random)) * (isTarget && this->draw() < this->slow ? 8 : 1);
+        Stream stream{.gateway = gateway, .key = {"pool", isTarget ? "v2" : "v1", "r"}, .startedMs = nowMs, .gapMs = gapMs};
+        stream.events = 5 + this->random() % 60;
+        this->gateways[gateway].recordStart(stream.key, nowMs);
+        this->gateways[gateway].recordAnswer(stream.key, false, nowMs, nowMs);
+        stream.number = this->gateways[gateway].recordStreamStart(stream.key, nowMs);
+        this->running.push_back(stream);
+    }
+
+    void step(std::uint64_t nowMs)
+    {
+        constexpr std::uint64_t DeadlineMs = 3000;
+        this->start(nowMs);
+        std::erase_if(this->running, [this, nowMs](Stream &stream) {
+            VersionCounts &counts = this->gateways[stream.gateway];
+            for (; stream.sent < stream.events && static_cast<double>(nowMs - stream.startedMs) >= stream.gapMs * static_cast<double>(stream.sent + 1);
+                 ++stream.sent) {
+                counts.recordEvent(stream.number);
+            }
+            const bool isOver = stream.sent == stream.events || nowMs - stream.startedMs >= DeadlineMs;
+            if (isOver) {
+                counts.recordStreamEnd(stream.number, nowMs);
+                counts.recordEnd(stream.key);
+            }
+            return isOver;
+        });
+    }
+
+    /** Plays the roll-out. \returns how it ended */
+    Wire::ServiceRolloutState play()
+    {
+        constexpr std::uint64_t ReportMs = 300;
+        for (std::uint64_t nowMs = IntervalMs; nowMs <= this->rollout.duration_ms(); nowMs += IntervalMs) {
+            this->step(nowMs);
+            for (std::size_t index = 0; nowMs % ReportMs == 0 && index < this->gateways.size(); ++index) {
+                this->evaluator.recordCounts(std::to_string(index), this->gateways[index].read(nowMs));
+            }
+            const Wire::SetServiceRollout change = nowMs % ReportMs == 0 ? this->evaluator.decide(this->rollout, nowMs) : Wire::SetServiceRollout();
+            if (change.state() == Wire::SERVICE_ROLLOUT_STATE_RUNNING) {
+                this->rollout.set_share_permille(change.share_permille());
+            } else if (change.state() != Wire::SERVICE_ROLLOUT_STATE_UNSPECIFIED) {
+                return change.state();
+            }
+        }
+        return Wire::SERVICE_ROLLOUT_STATE_RUNNING;
+    }
+
+    double draw()
+    {
+        return std::uniform_real_distribution<double>()(this->random);
+    }
+
+    struct Stream {
+        std::size_t gateway = 0;
+        VersionRoute key;
+        std::uint64_t startedMs = 0;
+        double gapMs = 0;
+        std::uint64_t number = 0;
+        std::uint64_t events = 0;
+        std::uint64_t sent = 0;
+    };
+    std::mt19937_64 random;
+    double slow;
+    std::vector<VersionCounts> gateways;
+    ServiceRolloutEvaluator evaluator;
+    Wire::ServiceRollout rollout = runningRollout(0);
+    unsigned targetRequests = 0;
+    std::vector<Stream> running;
+};
+
+} // namespace
+
+// A version with a tenth of its streams eight times slower was completed: only the first event was judged, and the deadline cut the slowest.
+BOOST_AUTO_TEST_CASE(versionWithSlowStreamsIsRolledBack)
+{
+    // With many gateways each has a few streams of the new version.
+    for (const std::size_t gateways : {4, 23, 68}) {
+        unsigned completed = 0;
+        unsigned falselyRolledBack = 0;
+        unsigned overExposed = 0;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            StreamReplay bad(seed, gateways, 0.1);
+            completed += bad.play() != Wire::SERVICE_ROLLOUT_STATE_ROLLED_BACK ? 1 : 0;
+            // Of the requests between the order and its deadline, at most 15%.
+            const std::uint64_t allRequests = bad.rollout.duration_ms() / StreamReplay::IntervalMs;
+            overExposed += 100 * std::uint64_t{bad.targetRequests} > 15 * allRequests ? 1 : 0;
+            falselyRolledBack += StreamReplay(seed, gateways, 0).play() != Wire::SERVICE_ROLLOUT_STATE_COMPLETED ? 1 : 0;
+        }
+        BOOST_TEST(completed == 0U);
+        BOOST_TEST(overExposed == 0U);
+        BOOST_TEST(falselyRolledBack == 0U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(openStreamsCountByWhatTheyTookSoFar)
+{
+    google::protobuf::RepeatedPtrField<Wire::ServiceRollout> rollouts;
+    *rollouts.Add() = runningRollout(100);
+    VersionCounts counts;
+    counts.setRollouts(rollouts);
+    const VersionRoute key{.service = "pool", .version = "v2", .route = "r"};
+    counts.recordStart(key, 0);
+    counts.recordAnswer(key, false, 0, 0);
+    const std::uint64_t stream = counts.recordStreamStart(key, 0);
+    for (unsigned event = 0; event < 10; ++event) {
+        counts.recordEvent(stream);
+    }
+    // 64 ms for an event, then 640: classes grow by the square root of two.
+    BOOST_TEST(counts.read(640).front().open_paces_size() == 13);
+    BOOST_TEST(counts.read(6400).front().open_paces_size() == 19);
+    counts.recordStreamEnd(stream, 6400);
+    BOOST_TEST(counts.read(6400).front().ended_paces_size() == 19);
+    BOOST_TEST(counts.read(6400).front().open_paces_size() == 0);
+    // A later order of the same version starts from zero.
+    BOOST_TEST(counts.read(6400).front().order() == 5U);
+    rollouts[0].set_order(9);
+    counts.setRollouts(rollouts);
+    BOOST_TEST(counts.read(6400).front().answers() == 0U);
+    BOOST_TEST(counts.read(6400).front().ended_paces_size() == 0);
+    rollouts[0].set_state(Wire::SERVICE_ROLLOUT_STATE_COMPLETED);
+    counts.setRollouts(rollouts);
+    BOOST_TEST(counts.read(6400).front().order() == 9U);
+}
+
 BOOST_AUTO_TEST_CASE(awaitedAnswersCountWithTheTimeWaited)
 {
     Wire::VersionCount target = count("v2", 17, 0, 100);
