--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -123,7 +123,7 @@
     this->lastEventId = this->request.lastEventId;
     this->model = this->request.anyModel ? ModelEscalation::first(this->route) : this->request.model;
     this->suspect = suspectRequest(this->request);
-    this->body = std::make_shared<const std::string>(std::move(this->request.body));
+    this->sharedBody = std::make_shared<const std::string>(std::move(this->request.body));
     const std::string &drawKey = this->request.session.empty() ? this->request.id : this->request.session;
     this->draw = uniformHash(drawKey);
     this->service = PlanIndex::serviceFor(this->route, XXH3_64bits_withSeed(this->request.id.data(), this->request.id.size(), 1));
@@ -259,7 +259,7 @@
         .method = this->request.method,
         .url = "http://" + choice.address + this->request.target,
         .headers = this->context.dialect.encode(this->request, parameters),
-        .sharedBody = this->body,
+        .sharedBody = this->sharedBody,
         .connectTimeout = std::min(ConnectTimeout, milliseconds(std::max<std::uint64_t>(1, this->remainingMs()))),
         .keepConnection = true,
         .unacknowledged = UnacknowledgedTimeout,
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -138,7 +138,7 @@
     GatewayContext &context;
     ForwardRequest request;
     /** The request's body, moved out of it: all attempts share it. */
-    std::shared_ptr<const std::string> body;
+    std::shared_ptr<const std::string> sharedBody;
     std::shared_ptr<HttpReply> reply;
     std::shared_ptr<const PlanIndex> plan;
     const Wire::PlanRoute &route;
