Test of the escalation has an objective that a busy machine keeps

Cause: an escalation is decided by what is left of the latency objective (ModelEscalation::shouldEscalate, 1.5 times what is left must exceed the prediction), the fixture's is 200 ms, and the stand-in's thread began later than that. No check is changed: body and number of requests are the same.

--- a/test/forwardrun.cpp
+++ b/test/forwardrun.cpp
@@ -366,6 +366,8 @@
     for (const char *model : {"small", "middle", "large"}) {
         plan.mutable_routes(0)->add_models(model);
     }
+    // An escalation needs time left of the objective; what is tested is whose answer the caller gets.
+    plan.mutable_routes(0)->set_objective_ms(2000);
     gateway.plan = std::make_shared<const PlanIndex>(plan);
     gateway.announce("one", endpoint.address());
     auto reply = std::make_shared<RecordedReply>();
