Test of failing disks: all replicas end before any starts

The same checks hold: nobody has failed, and each process that starts is suspended. The message of a failed start is shown now.

--- a/test/replica.cpp
+++ b/test/replica.cpp
@@ -375,9 +375,13 @@
     BOOST_TEST(refused.status != Wire::PROPOSE_STATUS_APPLIED);
     for (std::size_t number = 0; number < 3; ++number) {
         BOOST_TEST(!group.replicas[number]->hasFailed);
-        // A process that starts meanwhile waits as the others do.
+    }
+    // Processes that start meanwhile wait as the others did. All end first, as peers that dial a free port may take it.
+    for (std::size_t number = 0; number < 3; ++number) {
         group.kill(number);
-        BOOST_REQUIRE(group.start(number));
+    }
+    for (std::size_t number = 0; number < 3; ++number) {
+        BOOST_REQUIRE_MESSAGE(group.start(number), group.replicas[number]->error);
         BOOST_TEST(isSuspended(group, number));
     }
     failing = false;
