Harness: a replica that starts waits until its former process has let go of address and folder

Cause of a failed run of the whole suite: nothingIsAcknowledgedWhileNoDiskTakesWrites met 'Address already in use' in 4 of 36 runs, as ZeroMQ closes a socket in the background; tests with routerAt() wait for the same reason.

--- a/bench/replicagroup.h
+++ b/bench/replicagroup.h
@@ -216,9 +216,20 @@
         return initGroup(this->options(0).settings);
     }
 
+    /** \returns whether the replica has started; the socket of its former process may take a moment to close */
     bool start(std::size_t number)
     {
-        this->replicas[number] = std::make_unique<ReplicaThread>(this->options(number));
+        constexpr unsigned MaxTries = 100;
+        constexpr std::chrono::milliseconds Pause{20};
+        for (unsigned tries = 0; tries < MaxTries; ++tries) {
+            // The former one holds the folder until it is gone.
+            this->replicas[number].reset();
+            this->replicas[number] = std::make_unique<ReplicaThread>(this->options(number));
+            if (this->replicas[number]->error.find("already in use") == std::string::npos) {
+                break;
+            }
+            std::this_thread::sleep_for(Pause);
+        }
         return this->replicas[number]->started;
     }
 
