--- a/Apricothead/src/Coordination/Replica/ServiceRolloutDriver.cpp
+++ b/Apricothead/src/Coordination/Replica/ServiceRolloutDriver.cpp
@@ -17,19 +17,6 @@
     return static_cast<std::uint64_t>(std::clamp<std::int64_t>(age, 0, static_cast<std::int64_t>(rollout.duration_ms())));
 }
 
-/** \returns the counters that say something on \a rollout: targets of other orders are neither its target nor the former version */
-std::vector<Wire::VersionCount> countsFor(const Wire::ServiceRollout &rollout, const Wire::ServingState &state, const std::vector<Wire::VersionCount> &counts)
-{
-    std::vector<Wire::VersionCount> kept = counts;
-    std::erase_if(kept, [&rollout, &state](const Wire::VersionCount &count) {
-        const bool isOfEarlierOrder = count.version() == rollout.target() && count.order() != 0 && count.order() != rollout.order();
-        return isOfEarlierOrder || std::ranges::any_of(state.versions(), [&count](const Wire::RememberedVersion &version) {
-                   return version.service() == count.service() && version.version() == count.version();
-               });
-    });
-    return kept;
-}
-
 } // namespace
 
 std::vector<Wire::SetServiceRollout> ServiceRolloutDriver::due(const Wire::ServingState &state, const std::vector<GatewayCounts> &counts, std::uint64_t nowMs)
@@ -45,7 +32,7 @@
             known = ActiveRollout{.order = rollout.order(), .startedMs = nowMs - std::min(nowMs, ageMs(rollout))};
         }
         for (const GatewayCounts &gateway : counts) {
-            known.evaluator.recordCounts(gateway.process, countsFor(rollout, state, gateway.versions));
+            known.evaluator.recordCounts(gateway.process, gateway.versions);
         }
         if (nowMs - known.lastProposedMs < ReproposeIntervalMs) {
             continue;
--- a/Apricothead/src/Decisions/ServiceRolloutEvaluator.cpp
+++ b/Apricothead/src/Decisions/ServiceRolloutEvaluator.cpp
@@ -23,26 +23,6 @@
     return (counts.timeSumMs + counts.waitingSumMs) / static_cast<double>(std::max<std::uint64_t>(1, counts.answers));
 }
 
-void addPaces(PaceCounts &sum, const google::protobuf::RepeatedField<std::uint32_t> &paces)
-{
-    const std::size_t listed = std::min(sum.size(), static_cast<std::size_t>(paces.size()));
-    for (std::size_t index = 0; index < listed; ++index) {
-        sum[index] += paces[static_cast<int>(index)];
-    }
-}
-
-/** Adds the increase of counters that may lack their last classes. */
-void addPaceIncrease(PaceCounts &sum,
-                     const google::protobuf::RepeatedField<std::uint32_t> &previous,
-                     const google::protobuf::RepeatedField<std::uint32_t> &current)
-{
-    const std::size_t listed = std::min(sum.size(), static_cast<std::size_t>(current.size()));
-    for (std::size_t index = 0; index < listed; ++index) {
-        const int at = static_cast<int>(index);
-        sum[index] += counterIncrease(at < previous.size() ? previous[at] : 0, current[at]);
-    }
-}
-
 double failedShare(const RolloutCounts &counts)
 {
     return counts.answers == 0 ? 0 : static_cast<double>(counts.failed) / static_cast<double>(counts.answers);
@@ -64,7 +44,6 @@
         counts.answers += counterIncrease(previous.answers(), current.answers());
         counts.failed += restarted ? current.failed() : counterIncrease(previous.failed(), current.failed());
         counts.timeSumMs += restarted ? current.time_sum_ms() : current.time_sum_ms() - previous.time_sum_ms();
-        addPaceIncrease(counts.paces, restarted ? Wire::VersionCount().ended_paces() : previous.ended_paces(), current.ended_paces());
         previous = current;
     }
 }
@@ -79,16 +58,12 @@
         result.answers += counts.answers;
         result.failed += counts.failed;
         result.timeSumMs += counts.timeSumMs;
-        for (std::size_t index = 0; index < PaceClassCount; ++index) {
-            result.paces[index] += counts.paces[index];
-        }
     }
     for (const auto &[gateway, counts] : this->lastCounts) {
         for (const auto &[key, count] : counts) {
             if (key.service == service && (key.version == target) == isTarget && (route == nullptr || key.route == *route)) {
                 result.open += count.open();
                 result.waitingSumMs += count.waiting_sum_ms();
-                addPaces(result.paces, count.open_paces());
             }
         }
     }
@@ -113,9 +88,6 @@
         if (isSlow) {
             return "took " + std::to_string(static_cast<int>(meanMs(target))) + " ms instead of " + std::to_string(static_cast<int>(meanMs(previous)));
         }
-        if (const std::optional<SlowStreams> found = findSlowStreams(target.paces, previous.paces, this->options.streams)) {
-            return "slow " + std::to_string(found->slow) + " of " + std::to_string(found->all) + " streams";
-        }
         return {};
     };
     const auto sum = [this, &rollout](bool isTarget, const std::string *route) {
--- a/Apricothead/src/Decisions/ServiceRolloutEvaluator.h
+++ b/Apricothead/src/Decisions/ServiceRolloutEvaluator.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "StreamPace.h"
 #include "VersionRoute.h"
 
 #include "../Protocol/Messages.h"
@@ -46,7 +45,6 @@
     /** The same bounds for all routes together, where the times of more answers vary less. */
     double slowFactorOfAllRoutes = 2.0;
     std::uint64_t minTimedOfAllRoutes = 20;
-    SlowStreamOptions streams;
 };
 
 /** \class RolloutCounts
@@ -60,8 +58,6 @@
     double timeSumMs = 0;
     /** \sa VersionCounts */
     double waitingSumMs = 0;
-    /** Streams ended, and of a sum also those under way. */
-    PaceCounts paces{};
 
     bool operator==(const RolloutCounts &) const = default;
 };
@@ -75,8 +71,7 @@
  * from zero.
  *
  * Times are compared by the time spent on a version for each of its answers, waits without an answer included. A version that is slow on some of
- * its requests is therefore found before those are answered, and also when they are given up and answered elsewhere. From the first event on,
- * streams are compared one by one by their pace. \sa findSlowStreams()
+ * its requests is therefore found before those are answered, and also when they are given up and answered elsewhere.
  */
 class ServiceRolloutEvaluator
 {
--- a/Apricothead/src/Gateway/ForwardRun.cpp
+++ b/Apricothead/src/Gateway/ForwardRun.cpp
@@ -433,7 +433,6 @@
         return false;
     }
     this->recordAnswer(false);
-    this->recordEvent();
     // Only whole events are progress: single bytes would keep a stalled stream alive.
     this->attempt->lastReceivedMs = this->now();
     if (!this->isStreamStarted) {
@@ -472,16 +471,6 @@
     this->attempt->call->resume();
 }
 
-void ForwardRun::recordEvent()
-{
-    Attempt &current = *this->attempt;
-    if (current.stream == 0) {
-        current.stream = this->context.versionCounts.recordStreamStart(this->versionRoute(current.choice), this->now());
-        return;
-    }
-    this->context.versionCounts.recordEvent(current.stream);
-}
-
 bool ForwardRun::isAwaitingAnswer() const
 {
     const Attempt &current = *this->attempt;
@@ -612,7 +601,6 @@
     const EndpointChoice &choice = this->attempt->choice;
     this->attempt->call.reset();
     this->context.endpoints.recordEnd(choice, outcome, this->attempt->wasAnswered, this->now());
-    this->context.versionCounts.recordStreamEnd(this->attempt->stream, this->now());
     if (this->attempt->wasAnswered) {
         this->context.versionCounts.recordEnd(this->versionRoute(choice));
     } else {
--- a/Apricothead/src/Gateway/ForwardRun.h
+++ b/Apricothead/src/Gateway/ForwardRun.h
@@ -54,8 +54,6 @@
         bool isEscalationDeferred = false;
         std::string body;
         EventSplitter events;
-        /** \sa VersionCounts::recordStreamStart(); 0 before the first event */
-        std::uint64_t stream = 0;
         std::uint64_t startedMs = 0;
         /** When the answer began: its first event or the whole of a plain answer. 0 before. */
         std::uint64_t answeredMs = 0;
@@ -95,8 +93,6 @@
     void resumeForCaller();
     void handleDone(const HttpResult &result);
     void recordAnswer(bool failed);
-    /** Records an event of the current attempt's stream. */
-    void recordEvent();
     /** Records that the answer of the current attempt went on, which clears the parts of the request. */
     void settleAnswer();
     /** \returns whether the current attempt could have crashed its endpoint: its answer has not begun, or only just */
