--- a/test/support/GatewayCluster.cpp
+++ b/test/support/GatewayCluster.cpp
@@ -118,20 +118,20 @@
         const std::string name = id == request.headers.end() ? std::string() : id->second;
         reply->send(StatusOk, {{"Apricothead-Request-Id", name}, {"Apricothead-Response-Seal", "plans." + name}}, "plan");
     };
-    this->endpoint = std::make_unique<HttpServer>(this->loop,
-                                                  HttpServerOptions{.address = "127.0.0.1:0",
-                                                                    .maxConnections = 4000,
-                                                                    .onRequest = [this, answer](const HttpRequest &request, std::shared_ptr<HttpReply> reply) {
-                                                                        if (!request.path.starts_with("/plans/slow")) {
-                                                                            answer(request, reply);
-                                                                            return;
-                                                                        }
-                                                                        HttpRequest head{.path = request.path, .headers = request.headers};
-                                                                        this->pending.push_back(std::make_unique<Timer>(this->loop, [answer, head, reply] {
-                                                                            answer(head, reply);
-                                                                        }));
-                                                                        this->pending.back()->startOnce(SlowAnswer);
-                                                                    }});
+    this->endpoint = std::make_unique<HttpServer>(
+        this->loop,
+        HttpServerOptions{
+            .address = "127.0.0.1:0", .maxConnections = 4000, .onRequest = [this, answer](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
+                if (!request.path.starts_with("/plans/slow")) {
+                    answer(request, reply);
+                    return;
+                }
+                HttpRequest head{.path = request.path, .headers = request.headers};
+                this->pending.push_back(std::make_unique<Timer>(this->loop, [answer, head, reply] {
+                    answer(head, reply);
+                }));
+                this->pending.back()->startOnce(SlowAnswer);
+            }});
     this->client = std::make_unique<HttpClient>(this->loop);
     this->announceTimer = std::make_unique<Timer>(this->loop, [this] {
         this->announce();
