Review case 9: legal prompts of very many short parts take all gateways over their memory

Shows: 1,400 parts of one token in a request, 20 requests a second from one consumer at one gateway; both gateways grow by about 250 kB a request and give nothing back. Command: review/build-2.sh; review/9/run.sh (TROUBLE=0 with the same tokens in three parts).

--- a/review/support-2/Support.cpp
+++ b/review/support-2/Support.cpp
@@ -344,6 +344,8 @@
     options.gateway = words[1];
     options.ready = words[2];
     options.gatewayProcess = static_cast<int>(std::strtol(words[3].c_str(), nullptr, 10));
+    const std::size_t comma = words[3].find(',');
+    options.otherGatewayProcess = comma == std::string::npos ? 0 : static_cast<int>(std::strtol(words[3].c_str() + comma + 1, nullptr, 10));
     options.record = words[4];
     options.hasTrouble = words[5] != "0";
     return options;
--- a/review/support-2/Support.h
+++ b/review/support-2/Support.h
@@ -140,11 +140,13 @@
     std::string gateway;
     std::string ready;
     int gatewayProcess = 0;
+    /** 0 when there is one gateway only. */
+    int otherGatewayProcess = 0;
     std::string record;
     bool hasTrouble = true;
 };
 
-/** Reads: CONTROL,CONTROL,... GATEWAY READY PID RECORD TROUBLE. Ends the program with code 2 when there are others. */
+/** Reads: CONTROL,CONTROL,... GATEWAY READY PID[,PID] RECORD TROUBLE. Ends the program with code 2 when there are others. */
 Options readOptions(int argc, char **argv);
 
 /** \returns the config of all scripts: a stream, an order that runs once at most and a lookup that may be repeated */
--- a/review/support-2/system.sh
+++ b/review/support-2/system.sh
@@ -36,13 +36,20 @@
             \"control\":{\"address\":\"${controls[$number]}\",\"zones\":[\"zone-a\"]}}"
     done
     local door="127.0.0.1:${ports[6]}" ready="127.0.0.1:${ports[7]}"
-    serve front-1 "{\"process\":\"front-1\",\"region\":\"region-1\",\"availabilityZone\":\"zone-a\",\"seeds\":[$seeds],
-        \"memoryMb\":110,\"timing\":{\"shutdownMs\":7800,\"linkHeartbeatMs\":500},
-        \"gateway\":{\"callerAddress\":\"$door\",\"readyAddress\":\"$ready\",\"revocationMs\":5000,\"sessionSeconds\":5,
-            \"retryRatio\":0.9,\"retryWindowSeconds\":10,\"retrySlack\":56,\"graceSeconds\":8}}"
+    # A case that needs two gateways sets GATEWAYS=2; consumers come to the first.
+    for number in $(seq "${GATEWAYS:-1}"); do
+        serve "front-$number" "{\"process\":\"front-$number\",\"region\":\"region-1\",\"availabilityZone\":\"zone-a\",\"seeds\":[$seeds],
+            \"memoryMb\":110,\"timing\":{\"shutdownMs\":7800,\"linkHeartbeatMs\":500},
+            \"gateway\":{\"callerAddress\":\"$door\",\"readyAddress\":\"$ready\",\"revocationMs\":5000,\"sessionSeconds\":5,
+                \"retryRatio\":0.9,\"retryWindowSeconds\":10,\"retrySlack\":56,\"graceSeconds\":8}}"
+        door="127.0.0.1:${ports[8]}"
+        ready="127.0.0.1:${ports[9]}"
+    done
+    door="127.0.0.1:${ports[6]}"
+    ready="127.0.0.1:${ports[7]}"
     local gateway=${started[3]}
     echo "case $2, TROUBLE=$trouble" >"$record"
-    timeout -k 1 105 "$tools/$program" "$(IFS=,; echo "${controls[*]}")" "$door" "$ready" "$gateway" "$record" "$trouble"
+    timeout -k 1 105 "$tools/$program" "$(IFS=,; echo "${controls[*]}")" "$door" "$ready" "$gateway${started[4]:+,${started[4]}}" "$record" "$trouble"
     local code=$?
     if ! kill -0 "$gateway" 2>/dev/null; then
         echo "the gateway has ended by itself" >>"$record"
